workspace: set up layers, the core's types and the checks

Cause: there is nothing yet. The core's types come first, so that every part is written against the same messages, times and names. Ruled out: bare integers and strings at module borders; a layer per crate, which would make each change span several crates.

--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! The command line.
+fn main() {}
--- /dev/null
+++ b/lib/src/coordination/mod.rs
@@ -0,0 +1,5 @@
+//! Coordination: what entry hosts agree on without writing shared state.
+
+pub(crate) mod message;
+
+pub use message::*;
--- /dev/null
+++ b/lib/src/protocol/mod.rs
@@ -0,0 +1,1 @@
+//! Protocol: wire types, their versions and limits, and their way into the core's types.
--- /dev/null
+++ b/lib/src/transport/mod.rs
@@ -0,0 +1,1 @@
+//! Transport: sockets, HTTP, timers and threads; it takes no decisions.
--- /dev/null
+++ b/lib/testutils/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
