--- /dev/null
+++ b/lib/src/protocol/engine_api.rs
@@ -0,0 +1,234 @@
+//! The JSON that entry hosts and model engines exchange, as docs/platform.md describes it.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::coordination::EngineFacts;
+use crate::coordination::EngineModel;
+use crate::coordination::EngineSignal;
+use crate::coordination::Finish;
+use crate::coordination::ListedAttempt;
+use crate::coordination::ListedKind;
+use crate::coordination::Segment;
+use crate::state::Incarnation;
+use crate::state::ModelName;
+use crate::state::ParseRequestIdError;
+
+/// The body of `POST /v1/completions` and `POST /v1/prefill` at an engine.
+#[derive(Debug, Clone, Serialize)]
+pub struct EngineRequest<'a> {
+    /// The model.
+    pub model: &'a str,
+    /// The text to read.
+    pub prompt: &'a str,
+    /// The most tokens to generate.
+    pub max_tokens: u32,
+    /// From 0 to 9; higher goes first.
+    pub priority: u8,
+    /// The attempt, as text.
+    pub attempt: String,
+    /// The incarnation that owns the attempt, as 16 hex digits.
+    pub owner: String,
+    /// The answer tokens that the caller already has.
+    pub resume_from: u32,
+    /// The text of those tokens.
+    pub answered: &'a str,
+    /// The earlier segments of the prompt, held by other engines.
+    pub segments: Vec<SegmentJson>,
+    /// Further fields of the caller's body, passed on as they came.
+    #[serde(flatten)]
+    pub options: serde_json::Map<String, serde_json::Value>,
+}
+
+/// A segment of a prompt that another engine holds.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct SegmentJson {
+    /// The engine's address.
+    pub engine: String,
+    /// The export's name there.
+    pub export: String,
+    /// The segment's length in tokens.
+    pub tokens: u32,
+}
+
+impl From<&Segment> for SegmentJson {
+    fn from(segment: &Segment) -> SegmentJson {
+        SegmentJson {
+            engine: segment.addr.to_string(),
+            export: segment.export.to_string(),
+            tokens: segment.tokens,
+        }
+    }
+}
+
+/// One server-sent event of a completion.
+#[derive(Debug, Clone, Deserialize)]
+pub struct StreamEvent {
+    /// The attempt that the event is of, as text.
+    pub attempt: String,
+    /// Set on the event that ends prefill.
+    #[serde(default)]
+    pub start: bool,
+    /// The tokens that were cached, on the start event.
+    #[serde(default)]
+    pub cached: u32,
+    /// How long prefill took, on the start event.
+    #[serde(default)]
+    pub prefill_ms: u64,
+    /// The answer tokens before this piece.
+    #[serde(default)]
+    pub offset: u32,
+    /// The tokens of this piece, or of the whole answer on the last event.
+    #[serde(default)]
+    pub tokens: u32,
+    /// The text of this piece.
+    #[serde(default)]
+    pub text: String,
+    /// Set on the last event.
+    #[serde(default)]
+    pub done: bool,
+    /// Why generation ended, on the last event.
+    #[serde(default)]
+    pub finish: Option<String>,
+}
+
+impl From<StreamEvent> for EngineSignal {
+    fn from(event: StreamEvent) -> EngineSignal {
+        if event.start {
+            let prefill = Duration::from_millis(event.prefill_ms);
+            return EngineSignal::Started { cached: event.cached, prefill };
+        }
+        if event.done {
+            let finish = match event.finish.as_deref() {
+                Some("length") => Finish::Length,
+                _ => Finish::Stop,
+            };
+            return EngineSignal::Done { finish, tokens: event.tokens };
+        }
+        EngineSignal::Piece { offset: event.offset, tokens: event.tokens, text: event.text }
+    }
+}
+
+/// The body of an engine's refusal.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default)]
+pub struct EngineRefusal {
+    /// A word for programs.
+    pub error: String,
+    /// A sentence for people.
+    pub message: String,
+}
+
+/// The answer of `POST /v1/prefill`.
+#[derive(Debug, Clone, Deserialize)]
+pub struct PrefillReply {
+    /// The export's name.
+    pub export: String,
+    /// The segment's length in tokens.
+    pub tokens: u32,
+}
+
+/// The answer of `GET /v1/attempts`.
+#[derive(Debug, Clone, Deserialize)]
+pub struct ListingReply {
+    /// Everything that holds memory on the engine.
+    pub attempts: Vec<ListedAttemptJson>,
+}
+
+/// One attempt in an engine's listing.
+#[derive(Debug, Clone, Deserialize)]
+pub struct ListedAttemptJson {
+    /// The attempt, as text.
+    pub attempt: String,
+    /// The incarnation that owns it, as hex digits.
+    pub owner: String,
+    /// `stream` or `export`.
+    pub kind: String,
+    /// The memory that it holds, in tokens.
+    pub held: u32,
+    /// How long ago it came.
+    pub age_ms: u64,
+}
+
+/// Why an entry of a listing could not be understood.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ListingError {
+    /// The attempt's name is not one of ours.
+    Attempt(ParseRequestIdError),
+    /// The owner is not a hexadecimal incarnation.
+    Owner(String),
+}
+
+impl TryFrom<&ListedAttemptJson> for ListedAttempt {
+    type Error = ListingError;
+
+    fn try_from(entry: &ListedAttemptJson) -> Result<ListedAttempt, ListingError> {
+        let owner = u64::from_str_radix(&entry.owner, 16)
+            .map_err(|_| ListingError::Owner(entry.owner.clone()))?;
+        Ok(ListedAttempt {
+            attempt: entry.attempt.parse().map_err(ListingError::Attempt)?,
+            owner: Incarnation(owner),
+            kind: if entry.kind == "export" { ListedKind::Export } else { ListedKind::Stream },
+            held: entry.held,
+            age: Duration::from_millis(entry.age_ms),
+        })
+    }
+}
+
+/// The answer of `GET /v1/load`.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default)]
+pub struct LoadReply {
+    /// How old the figures are.
+    pub age_ms: u64,
+    /// Prompt tokens that wait.
+    pub queued_tokens: u32,
+    /// Streams that run.
+    pub running: u32,
+    /// Memory held, in tokens.
+    pub held: u32,
+    /// Memory in all, in tokens.
+    pub memory: u32,
+    /// Prompt tokens read a second.
+    pub prefill_rate: u32,
+    /// Whether the engine finishes its work and takes no more.
+    pub leaving: bool,
+    /// The models loaded.
+    pub models: Vec<LoadedModelJson>,
+}
+
+/// A model on an engine.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default)]
+pub struct LoadedModelJson {
+    /// Its name.
+    pub model: String,
+    /// The version of its weights.
+    pub revision: String,
+    /// The adapters loaded beside it.
+    pub adapters: Vec<String>,
+}
+
+impl From<LoadReply> for EngineFacts {
+    fn from(reply: LoadReply) -> EngineFacts {
+        let models = reply.models.into_iter().map(EngineModel::from).collect();
+        EngineFacts {
+            age: Duration::from_millis(reply.age_ms),
+            prefill_rate: reply.prefill_rate,
+            leaving: reply.leaving,
+            models,
+        }
+    }
+}
+
+impl From<LoadedModelJson> for EngineModel {
+    fn from(json: LoadedModelJson) -> EngineModel {
+        EngineModel {
+            model: ModelName::new(json.model),
+            revision: json.revision,
+            adapters: json.adapters,
+        }
+    }
+}
--- a/lib/src/state/request.rs
+++ b/lib/src/state/request.rs
@@ -47,6 +47,8 @@
     pub model: ModelName,
     /// The prompt.
     pub prompt: Prompt,
+    /// Further fields of the body, as the text of a JSON object.
+    pub options: Arc<str>,
     /// The most tokens that the answer may have.
     pub max_output: u32,
     /// Its priority among the customer's own requests.
