transport: add the HTTP side of callers, engines, services and platform

Cause: the whole path needs its borders before the core can be driven. Ruled out: relaying tokens between entry hosts; each origin streams from the engine itself. Change: clients with typed reports to the core, callers' routes, the ring into the core; the log that puts an answer together from late, doubled or crossed pieces. Conclusion: not wired yet.

--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here reads a clock, opens a socket or knows of the layers above.
 
+pub(crate) mod answer;
 pub(crate) mod event;
 pub(crate) mod fleet;
 pub(crate) mod names;
@@ -10,6 +11,7 @@
 pub(crate) mod rules;
 pub(crate) mod time;
 
+pub use answer::*;
 pub use event::*;
 pub use fleet::*;
 pub use names::*;
--- /dev/null
+++ b/lib/src/transport/caller_response.rs
@@ -0,0 +1,140 @@
+//! Turns answers and refusals into HTTP responses.
+
+use std::io::Cursor;
+use std::time::Duration;
+
+use rocket::Request;
+use rocket::http::ContentType;
+use rocket::http::Header;
+use rocket::http::Status;
+use rocket::response::Responder;
+use rocket::response::Response;
+use rocket::response::stream::ByteStream;
+
+use crate::coordination::Rejection;
+use crate::protocol::caller_api::RefusalJson;
+use crate::state::Outcome;
+use crate::state::Reason;
+use crate::state::Refusal;
+use crate::state::RequestId;
+use crate::state::ServiceReply;
+
+/// A stream of the bytes of server-sent events.
+pub(crate) type EventBytes = futures_util::stream::BoxStream<'static, Vec<u8>>;
+
+/// What a caller gets.
+pub(crate) enum CallerResponse {
+    /// A JSON body.
+    Json { status: u16, body: String, retry: Option<Duration> },
+    /// A stream of server-sent events.
+    Events(EventBytes),
+    /// A plain service's answer as it came.
+    Service { id: Option<RequestId>, reply: ServiceReply },
+}
+
+impl CallerResponse {
+    /// Makes a JSON response.
+    pub(crate) fn json(status: u16, body: String) -> CallerResponse {
+        CallerResponse::Json { status, body, retry: None }
+    }
+
+    /// Makes the response to a request that never reached the core.
+    pub(crate) fn rejected(status: u16, reason: &str, message: String) -> CallerResponse {
+        CallerResponse::json(status, to_json(&RefusalJson::not_run(reason, message)))
+    }
+
+    /// Makes the response to a request that the core refused or gave up.
+    pub(crate) fn refused(id: Option<RequestId>, refusal: &Refusal) -> CallerResponse {
+        CallerResponse::Json {
+            status: status_of(refusal),
+            body: to_json(&RefusalJson::new(id, refusal)),
+            retry: refusal.retry_after,
+        }
+    }
+
+    /// Makes the response to a request that does not fit the rules.
+    pub(crate) fn rejection(rejection: &Rejection) -> CallerResponse {
+        match rejection {
+            Rejection::UnknownCustomer => {
+                let text = "the bearer token is missing or not known".to_owned();
+                CallerResponse::rejected(401, "unknown_customer", text)
+            }
+            Rejection::UnknownModel(model) => {
+                let text = format!("there is no model `{model}`");
+                CallerResponse::rejected(404, "unknown_model", text)
+            }
+            Rejection::UnknownPath => {
+                let text = "no service is reached by this path".to_owned();
+                CallerResponse::rejected(404, "unknown_path", text)
+            }
+            Rejection::PromptTooLong { tokens, limit } => {
+                let text = format!("the prompt has {tokens} tokens: expected at most {limit}");
+                CallerResponse::rejected(413, "prompt_too_long", text)
+            }
+        }
+    }
+}
+
+fn to_json(refusal: &RefusalJson) -> String {
+    serde_json::to_string(refusal).unwrap_or_default()
+}
+
+/// Returns the HTTP status that fits a refusal.
+fn status_of(refusal: &Refusal) -> u16 {
+    match (refusal.outcome, refusal.reason) {
+        (_, Reason::DeadlinePassed) => 504,
+        (_, Reason::KeyReused) => 422,
+        (_, Reason::PromptTooLong) => 413,
+        (Outcome::NotRun, Reason::RateLimit | Reason::InFlightLimit | Reason::FairShare) => 429,
+        (Outcome::NotRun, _) => 503,
+        (Outcome::Unknown | Outcome::Failed, _) => 502,
+    }
+}
+
+impl<'r> Responder<'r, 'static> for CallerResponse {
+    fn respond_to(self, request: &'r Request<'_>) -> rocket::response::Result<'static> {
+        match self {
+            CallerResponse::Json { status, body, retry } => json_response(status, body, retry),
+            CallerResponse::Events(events) => {
+                let mut response = ByteStream(events).respond_to(request)?;
+                response.set_header(ContentType::EventStream);
+                response.set_header(Header::new("cache-control", "no-cache"));
+                Ok(response)
+            }
+            CallerResponse::Service { id, reply } => service_response(id, reply),
+        }
+    }
+}
+
+fn json_response(
+    status: u16,
+    body: String,
+    retry: Option<Duration>,
+) -> rocket::response::Result<'static> {
+    let mut response = Response::build();
+    response.status(Status::new(status)).header(ContentType::JSON);
+    if let Some(retry) = retry {
+        // The header counts whole seconds; rounding up never calls a caller back too early.
+        let seconds = retry.as_millis().div_ceil(1000).max(1);
+        response.raw_header("retry-after", seconds.to_string());
+    }
+    response.sized_body(body.len(), Cursor::new(body));
+    response.ok()
+}
+
+fn service_response(
+    id: Option<RequestId>,
+    reply: ServiceReply,
+) -> rocket::response::Result<'static> {
+    let mut response = Response::build();
+    response.status(Status::new(reply.status));
+    if let Some(media) = &reply.media {
+        response.raw_header("content-type", media.to_string());
+    }
+    if let Some(id) = id {
+        response.raw_header("x-request-id", id.to_string());
+    }
+    let body = reply.body.to_vec();
+    response.sized_body(body.len(), Cursor::new(body));
+    response.ok()
+}
--- /dev/null
+++ b/lib/src/transport/callers.rs
@@ -0,0 +1,335 @@
+//! The HTTP interface for callers: completions, calls to plain services, and health.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use rocket::Data;
+use rocket::Request;
+use rocket::Route;
+use rocket::State;
+use rocket::data::ByteUnit;
+use rocket::data::ToByteUnit;
+use rocket::http::Method;
+use rocket::request::FromRequest;
+use rocket::request::Outcome as Guarded;
+use rocket::route::Handler;
+use tokio::sync::mpsc;
+
+use super::caller_response::CallerResponse;
+use super::caller_stream;
+use super::ring::CoreMessage;
+use super::ring::CoreSender;
+use crate::coordination::AnswerPiece;
+use crate::coordination::CallForm;
+use crate::coordination::CallerTicket;
+use crate::coordination::CompletionForm;
+use crate::coordination::Input;
+use crate::protocol::caller_api;
+use crate::protocol::caller_api::AnswerShape;
+use crate::protocol::caller_api::CallerError;
+use crate::protocol::caller_api::CallerHeaders;
+use crate::state::Outcome;
+use crate::state::Reason;
+use crate::state::Refusal;
+
+/// Bodies above this many bytes are read and hashed away from the threads that serve sockets.
+const BLOCKING_BODY_BYTES: usize = 64 * 1024;
+
+/// How many pieces of an answer may wait for a slow caller before it is given up.
+const ANSWER_RING: usize = 4096;
+
+/// When a caller may come back after this process was too busy to take its request.
+const BUSY_RETRY: Duration = Duration::from_secs(1);
+
+/// What the callers' routes share.
+pub(crate) struct CallerState {
+    core: CoreSender,
+    tickets: AtomicU64,
+    open: AtomicUsize,
+    limits: CallerLimits,
+    /// Whether the balancer may send more requests.
+    pub(crate) healthy: Arc<AtomicBool>,
+}
+
+/// The limits on what one caller and all callers may take.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CallerLimits {
+    /// The largest body, in bytes.
+    pub(crate) body: usize,
+    /// The longest time in which a body must have come.
+    pub(crate) body_time: Duration,
+    /// The most requests at once.
+    pub(crate) requests: usize,
+}
+
+impl CallerState {
+    /// Makes the state of the callers' routes.
+    pub(crate) fn new(core: CoreSender, limits: CallerLimits, healthy: Arc<AtomicBool>) -> Self {
+        let tickets = AtomicU64::new(1);
+        CallerState { core, tickets, open: AtomicUsize::new(0), limits, healthy }
+    }
+
+    /// Passes an input to the core and returns the way back, or says that there is no room.
+    fn open(
+        self: &Arc<Self>,
+        make: impl FnOnce(CallerTicket) -> Input,
+    ) -> Result<OpenAnswer, Refusal> {
+        if self.open.fetch_add(1, Ordering::Relaxed) >= self.limits.requests {
+            self.open.fetch_sub(1, Ordering::Relaxed);
+            return Err(busy());
+        }
+        let ticket = CallerTicket(self.tickets.fetch_add(1, Ordering::Relaxed));
+        let (sink, pieces) = mpsc::channel(ANSWER_RING);
+        let answer = OpenAnswer { ticket, pieces, state: self.clone(), ended: false };
+        let message = CoreMessage::Caller { input: make(ticket), ticket, sink };
+        self.core.try_send(message).map_err(|_| busy())?;
+        Ok(answer)
+    }
+}
+
+fn busy() -> Refusal {
+    Refusal {
+        outcome: Outcome::NotRun,
+        reason: Reason::Overloaded,
+        retry_after: Some(BUSY_RETRY),
+    }
+}
+
+/// The way back from the core to one caller; dropping it early tells the core that it is gone.
+pub(crate) struct OpenAnswer {
+    ticket: CallerTicket,
+    pieces: mpsc::Receiver<AnswerPiece>,
+    state: Arc<CallerState>,
+    ended: bool,
+}
+
+impl OpenAnswer {
+    /// Waits for the next piece; `None` means that the core has let go of the answer.
+    pub(crate) async fn next(&mut self) -> Option<AnswerPiece> {
+        let piece = self.pieces.recv().await;
+        self.note_end(piece.as_ref());
+        piece
+    }
+
+    /// Returns the next piece if it is already there.
+    pub(crate) fn ready(&mut self) -> Option<AnswerPiece> {
+        let piece = self.pieces.try_recv().ok()?;
+        self.note_end(Some(&piece));
+        Some(piece)
+    }
+
+    fn note_end(&mut self, piece: Option<&AnswerPiece>) {
+        let open = matches!(piece, Some(AnswerPiece::Accepted(_) | AnswerPiece::Text { .. }));
+        self.ended |= !open;
+    }
+}
+
+impl Drop for OpenAnswer {
+    fn drop(&mut self) {
+        self.state.open.fetch_sub(1, Ordering::Relaxed);
+        if !self.ended {
+            // A full ring loses this; the deadline then ends the request instead.
+            let gone = CoreMessage::Input(Input::CallerGone(self.ticket));
+            let _ = self.state.core.try_send(gone);
+        }
+    }
+}
+
+/// The headers of a request, copied so that they outlive it.
+#[derive(Default)]
+pub(crate) struct OwnedHeaders {
+    authorization: Option<String>,
+    priority: Option<String>,
+    deadline: Option<String>,
+    key: Option<String>,
+    media: Option<String>,
+}
+
+impl OwnedHeaders {
+    fn of(request: &Request<'_>) -> OwnedHeaders {
+        let one = |name: &str| request.headers().get_one(name).map(str::to_owned);
+        OwnedHeaders {
+            authorization: one("authorization"),
+            priority: one("x-priority"),
+            deadline: one("x-deadline-ms"),
+            key: one("idempotency-key"),
+            media: one("content-type"),
+        }
+    }
+
+    fn view(&self) -> CallerHeaders<'_> {
+        CallerHeaders {
+            authorization: self.authorization.as_deref(),
+            priority: self.priority.as_deref(),
+            deadline: self.deadline.as_deref(),
+            key: self.key.as_deref(),
+        }
+    }
+}
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for OwnedHeaders {
+    type Error = std::convert::Infallible;
+
+    async fn from_request(request: &'r Request<'_>) -> Guarded<Self, Self::Error> {
+        Guarded::Success(OwnedHeaders::of(request))
+    }
+}
+
+type Shared = State<Arc<CallerState>>;
+
+/// Tells the balancer whether to send more requests.
+#[rocket::get("/health")]
+pub(crate) fn health(state: &Shared) -> CallerResponse {
+    match state.healthy.load(Ordering::Relaxed) {
+        true => CallerResponse::json(200, "{\"status\":\"ok\"}".to_owned()),
+        false => CallerResponse::json(503, "{\"status\":\"not ready\"}".to_owned()),
+    }
+}
+
+/// Takes a completion request in the plain form.
+#[rocket::post("/v1/completions", data = "<data>")]
+pub(crate) async fn completions(
+    data: Data<'_>,
+    headers: OwnedHeaders,
+    state: &Shared,
+) -> CallerResponse {
+    complete(data, headers, state, AnswerShape::Text).await
+}
+
+/// Takes a completion request in the chat form.
+#[rocket::post("/v1/chat/completions", data = "<data>")]
+pub(crate) async fn chat(data: Data<'_>, headers: OwnedHeaders, state: &Shared) -> CallerResponse {
+    complete(data, headers, state, AnswerShape::Chat).await
+}
+
+async fn complete(
+    data: Data<'_>,
+    headers: OwnedHeaders,
+    state: &Arc<CallerState>,
+    shape: AnswerShape,
+) -> CallerResponse {
+    let body = match read_body(data, state.limits).await {
+        Ok(body) => body,
+        Err(response) => return response,
+    };
+    let form = match read_form(body, headers, shape).await {
+        Ok(form) => form,
+        Err(error) => return CallerResponse::rejected(400, "bad_request", error.to_string()),
+    };
+    let stream = form.stream;
+    let form = Box::new(form);
+    match state.open(|ticket| Input::Completion { ticket, form }) {
+        Ok(answer) => caller_stream::respond(answer, shape, stream).await,
+        Err(refusal) => CallerResponse::refused(None, &refusal),
+    }
+}
+
+/// Reads and hashes a body, away from the threads that serve sockets if it is long.
+async fn read_form(
+    body: Vec<u8>,
+    headers: OwnedHeaders,
+    shape: AnswerShape,
+) -> Result<CompletionForm, CallerError> {
+    let long = body.len() > BLOCKING_BODY_BYTES;
+    let read = move || match shape {
+        AnswerShape::Text => caller_api::read_completion(&body, &headers.view()),
+        AnswerShape::Chat => caller_api::read_chat(&body, &headers.view()),
+    };
+    if !long {
+        return read();
+    }
+    let read = tokio::task::spawn_blocking(read).await;
+    read.unwrap_or_else(|_| Err(CallerError::Body("it could not be read".to_owned())))
+}
+
+/// Reads a body within its limits of length and time.
+async fn read_body(data: Data<'_>, limits: CallerLimits) -> Result<Vec<u8>, CallerResponse> {
+    let limit: ByteUnit = limits.body.bytes();
+    let read = tokio::time::timeout(limits.body_time, data.open(limit).into_bytes()).await;
+    let body = match read {
+        Ok(Ok(body)) => body,
+        Ok(Err(error)) => {
+            return Err(CallerResponse::rejected(400, "bad_request", error.to_string()));
+        }
+        Err(_) => {
+            let text = "the body did not arrive in time".to_owned();
+            return Err(CallerResponse::rejected(408, "body_timeout", text));
+        }
+    };
+    if !body.is_complete() {
+        let text = format!("the body is longer than {} bytes", limits.body);
+        return Err(CallerResponse::rejected(413, "body_too_long", text));
+    }
+    Ok(body.into_inner())
+}
+
+/// Takes calls of every method below every path that no other route matches.
+#[derive(Clone)]
+struct ServiceCalls;
+
+#[rocket::async_trait]
+impl Handler for ServiceCalls {
+    async fn handle<'r>(
+        &self,
+        request: &'r Request<'_>,
+        data: Data<'r>,
+    ) -> rocket::route::Outcome<'r> {
+        let Some(state) = request.rocket().state::<Arc<CallerState>>() else {
+            return rocket::route::Outcome::error(rocket::http::Status::InternalServerError);
+        };
+        let response = call_service(request, data, state).await;
+        rocket::route::Outcome::from(request, response)
+    }
+}
+
+async fn call_service(
+    request: &Request<'_>,
+    data: Data<'_>,
+    state: &Arc<CallerState>,
+) -> CallerResponse {
+    let headers = OwnedHeaders::of(request);
+    let body = match read_body(data, state.limits).await {
+        Ok(body) => body,
+        Err(response) => return response,
+    };
+    let form = match call_form(request, &headers, body) {
+        Ok(form) => Box::new(form),
+        Err(error) => return CallerResponse::rejected(400, "bad_request", error.to_string()),
+    };
+    match state.open(|ticket| Input::Call { ticket, form }) {
+        Ok(answer) => caller_stream::respond(answer, AnswerShape::Text, false).await,
+        Err(refusal) => CallerResponse::refused(None, &refusal),
+    }
+}
+
+fn call_form(
+    request: &Request<'_>,
+    headers: &OwnedHeaders,
+    body: Vec<u8>,
+) -> Result<CallForm, CallerError> {
+    let view = headers.view();
+    Ok(CallForm {
+        token_hash: view.token_hash(),
+        method: request.method().as_str().into(),
+        path: request.uri().to_string().into(),
+        body: body.into(),
+        media: headers.media.as_deref().map(Arc::from),
+        deadline: view.deadline()?,
+        key: view.key()?,
+    })
+}
+
+/// Returns all routes for callers.
+pub(crate) fn routes() -> Vec<Route> {
+    let mut routes = rocket::routes![health, completions, chat];
+    let methods = [Method::Get, Method::Post, Method::Put, Method::Patch, Method::Delete];
+    for method in methods {
+        routes.push(Route::ranked(20, method, "/<path..>", ServiceCalls));
+    }
+    routes
+}
--- /dev/null
+++ b/lib/src/transport/engine_client.rs
@@ -0,0 +1,283 @@
+//! Speaks to model engines over HTTP and turns what they say into inputs of the core.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eventsource_stream::Eventsource;
+use futures_util::StreamExt;
+use reqwest::Response;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+
+use super::ring::CoreSender;
+use crate::coordination::EngineFacts;
+use crate::coordination::EngineOrder;
+use crate::coordination::EnginePoll;
+use crate::coordination::EngineReport;
+use crate::coordination::EngineSignal;
+use crate::coordination::EngineWord;
+use crate::coordination::Input;
+use crate::coordination::ListedAttempt;
+use crate::coordination::OrderReport;
+use crate::coordination::OrderResult;
+use crate::coordination::StreamStart;
+use crate::protocol::engine_api::EngineRefusal;
+use crate::protocol::engine_api::EngineRequest;
+use crate::protocol::engine_api::ListingReply;
+use crate::protocol::engine_api::LoadReply;
+use crate::protocol::engine_api::PrefillReply;
+use crate::protocol::engine_api::SegmentJson;
+use crate::protocol::engine_api::StreamEvent;
+use crate::state::AttemptId;
+use crate::state::EngineName;
+use crate::state::EngineRole;
+
+/// How long a call without a stream may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How often a cancel is sent before the next listing takes over.
+const CANCEL_TRIES: u32 = 3;
+
+/// How long an order may take, since an engine reads weights before it answers.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// The client of all model engines.
+#[derive(Clone)]
+pub(crate) struct EngineClient {
+    http: reqwest::Client,
+    core: CoreSender,
+    idle: Duration,
+}
+
+impl EngineClient {
+    /// Makes a client that gives a stream up after `idle` without a byte.
+    pub(crate) fn new(http: reqwest::Client, core: CoreSender, idle: Duration) -> EngineClient {
+        EngineClient { http, core, idle }
+    }
+
+    /// Runs one attempt to its end and reports all that the engine says.
+    pub(crate) async fn run(self, start: StreamStart) {
+        let end = if start.prefill_only {
+            self.prefill(&start).await
+        } else {
+            self.stream(&start).await
+        };
+        if let Err(signal) = end {
+            self.report(&start, signal).await;
+        }
+    }
+
+    async fn stream(&self, start: &StreamStart) -> Result<(), EngineSignal> {
+        let url = format!("http://{}/v1/completions", start.addr);
+        let response = self.post(&url, start).await?;
+        let mut events = response.bytes_stream().eventsource();
+        let mut piece: Option<PendingPiece> = None;
+        loop {
+            // What has already arrived is joined; only then is the core told.
+            let next = match futures_util::poll!(events.next()) {
+                std::task::Poll::Ready(next) => next,
+                std::task::Poll::Pending => {
+                    self.flush(start, &mut piece).await;
+                    let waited = tokio::time::timeout(self.idle, events.next()).await;
+                    waited.map_err(|_| EngineSignal::Lost { refused: false })?
+                }
+            };
+            let Some(Ok(event)) = next else {
+                self.flush(start, &mut piece).await;
+                return Err(EngineSignal::Lost { refused: false });
+            };
+            if event.data == "[DONE]" {
+                self.flush(start, &mut piece).await;
+                return Ok(());
+            }
+            let Ok(event) = serde_json::from_str::<StreamEvent>(&event.data) else { continue };
+            if event.attempt != start.attempt.to_string() {
+                // A crossed event is of another attempt and is never passed on.
+                continue;
+            }
+            self.take(start, &mut piece, event.into()).await;
+        }
+    }
+
+    /// Joins a piece to the pending one if it follows it, and reports anything else at once.
+    async fn take(
+        &self,
+        start: &StreamStart,
+        piece: &mut Option<PendingPiece>,
+        signal: EngineSignal,
+    ) {
+        let EngineSignal::Piece { offset, tokens, text } = signal else {
+            self.flush(start, piece).await;
+            self.report(start, signal).await;
+            return;
+        };
+        match piece {
+            Some(pending) if pending.follows(offset) => pending.join(tokens, &text),
+            _ => {
+                self.flush(start, piece).await;
+                *piece = Some(PendingPiece { offset, tokens, text });
+            }
+        }
+    }
+
+    async fn flush(&self, start: &StreamStart, piece: &mut Option<PendingPiece>) {
+        let Some(PendingPiece { offset, tokens, text }) = piece.take() else { return };
+        self.report(start, EngineSignal::Piece { offset, tokens, text }).await;
+    }
+
+    async fn prefill(&self, start: &StreamStart) -> Result<(), EngineSignal> {
+        let url = format!("http://{}/v1/prefill", start.addr);
+        let response = tokio::time::timeout(start.left, self.post(&url, start)).await;
+        let response = response.map_err(|_| EngineSignal::Lost { refused: false })??;
+        let reply: PrefillReply =
+            response.json().await.map_err(|_| EngineSignal::Lost { refused: false })?;
+        let signal = EngineSignal::Exported { export: reply.export.into(), tokens: reply.tokens };
+        self.report(start, signal).await;
+        Ok(())
+    }
+
+    async fn post(&self, url: &str, start: &StreamStart) -> Result<Response, EngineSignal> {
+        let body = request_body(start);
+        let sent = self.http.post(url).json(&body).timeout(start.left).send().await;
+        let response = sent.map_err(|e| EngineSignal::Lost { refused: e.is_connect() })?;
+        if response.status().is_success() {
+            return Ok(response);
+        }
+        let refusal: EngineRefusal = response.json().await.unwrap_or_default();
+        Err(EngineSignal::Refused(refusal_word(&refusal.error)))
+    }
+
+    async fn report(&self, start: &StreamStart, signal: EngineSignal) {
+        let report =
+            EngineReport { attempt: start.attempt, engine: start.engine.clone(), signal };
+        self.core.send(Input::Engine(report)).await;
+    }
+
+    /// Deletes an attempt at its engine; the next listing shows whether that worked.
+    pub(crate) async fn cancel(self, attempt: AttemptId, addr: SocketAddr) {
+        let url = format!("http://{addr}/v1/attempts/{attempt}");
+        for _ in 0..CANCEL_TRIES {
+            let sent = self.http.delete(&url).timeout(CALL_TIMEOUT).send().await;
+            if sent.is_ok_and(|response| response.status().is_success()) {
+                return;
+            }
+            tokio::time::sleep(CALL_TIMEOUT / 4).await;
+        }
+    }
+
+    /// Reads an engine's listing and load.
+    pub(crate) async fn poll(self, engine: EngineName, addr: SocketAddr) {
+        let listing = self.get::<ListingReply>(addr, "attempts").await;
+        let facts = self.get::<LoadReply>(addr, "load").await;
+        let refused = matches!(&listing, Err(error) if error.is_connect());
+        let poll = EnginePoll {
+            engine,
+            listing: listing.ok().map(|reply| understood(&reply)),
+            facts: facts.ok().map(EngineFacts::from),
+            refused,
+        };
+        self.core.send(Input::Polled(poll)).await;
+    }
+
+    async fn get<T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        what: &str,
+    ) -> Result<T, reqwest::Error> {
+        let url = format!("http://{addr}/v1/{what}");
+        self.http.get(url).timeout(CALL_TIMEOUT).send().await?.error_for_status()?.json().await
+    }
+
+    /// Gives an order and reports how it ended.
+    pub(crate) async fn order(
+        self,
+        engine: EngineName,
+        addr: SocketAddr,
+        order: EngineOrder,
+        fence: u64,
+    ) {
+        let url = format!("http://{addr}/v1/orders");
+        let body = order_body(&order, fence);
+        let sent = self.http.post(url).json(&body).timeout(ORDER_TIMEOUT).send().await;
+        let result = match sent {
+            Ok(response) if response.status().is_success() => OrderResult::Done,
+            Ok(response) if response.status().as_u16() == 409 => OrderResult::Stale,
+            _ => OrderResult::Failed,
+        };
+        let report = OrderReport { engine, order, fence, result };
+        self.core.send(Input::Ordered(report)).await;
+    }
+}
+
+/// Pieces of one stream that arrived together and follow each other.
+struct PendingPiece {
+    offset: u32,
+    tokens: u32,
+    text: String,
+}
+
+impl PendingPiece {
+    fn follows(&self, offset: u32) -> bool {
+        self.offset + self.tokens == offset
+    }
+
+    fn join(&mut self, tokens: u32, text: &str) {
+        self.tokens += tokens;
+        self.text.push_str(text);
+    }
+}
+
+fn request_body(start: &StreamStart) -> EngineRequest<'_> {
+    EngineRequest {
+        model: start.model.as_str(),
+        prompt: start.text.get(start.range.clone()).unwrap_or_default(),
+        max_tokens: start.max_output,
+        priority: start.priority,
+        attempt: start.attempt.to_string(),
+        owner: start.owner.to_string(),
+        resume_from: start.resume_from,
+        answered: &start.answered,
+        segments: start.segments.iter().map(SegmentJson::from).collect(),
+        options: serde_json::from_str(&start.options).unwrap_or_default(),
+    }
+}
+
+fn refusal_word(word: &str) -> EngineWord {
+    match word {
+        "memory_full" => EngineWord::MemoryFull,
+        "unknown_model" => EngineWord::UnknownModel,
+        "leaving" => EngineWord::Leaving,
+        "bad_segment" => EngineWord::BadSegment,
+        _ => EngineWord::Other,
+    }
+}
+
+/// Keeps the entries of a listing that are of this system.
+fn understood(reply: &ListingReply) -> Vec<ListedAttempt> {
+    reply.attempts.iter().filter_map(|entry| ListedAttempt::try_from(entry).ok()).collect()
+}
+
+fn order_body(order: &EngineOrder, fence: u64) -> serde_json::Value {
+    match order {
+        EngineOrder::LoadModel { model, revision } => json!({
+            "fence": fence, "load_model": {"model": model.as_str(), "revision": revision},
+        }),
+        EngineOrder::UnloadModel { model, revision } => json!({
+            "fence": fence, "unload_model": {"model": model.as_str(), "revision": revision},
+        }),
+        EngineOrder::LoadAdapter { model, adapter } => json!({
+            "fence": fence, "load_adapter": {"model": model.as_str(), "adapter": adapter},
+        }),
+        EngineOrder::SetRole { role } => json!({
+            "fence": fence, "set_role": {"role": role_word(*role)},
+        }),
+    }
+}
+
+fn role_word(role: EngineRole) -> &'static str {
+    match role {
+        EngineRole::Any => "any",
+        EngineRole::Short => "short",
+        EngineRole::Long => "long",
+    }
+}
--- /dev/null
+++ b/lib/src/transport/platform_client.rs
@@ -0,0 +1,74 @@
+//! Reads and watches what the platform publishes; it never writes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use reqwest::StatusCode;
+use serde::de::DeserializeOwned;
+
+use super::ring::CoreSender;
+use crate::coordination::Input;
+use crate::coordination::PublishedConfig;
+use crate::coordination::ReadFailure;
+use crate::protocol::platform_api::ConfigReply;
+use crate::protocol::platform_api::LiveReply;
+use crate::state::LiveList;
+
+/// How much longer than its wait a watch may take.
+const WATCH_GRACE: Duration = Duration::from_secs(2);
+
+/// The client of the configuration service and the live list.
+#[derive(Clone)]
+pub(crate) struct PlatformClient {
+    http: reqwest::Client,
+    core: CoreSender,
+    addr: SocketAddr,
+    wait: Duration,
+}
+
+impl PlatformClient {
+    /// Makes a client whose watches wait for `wait` at the service.
+    pub(crate) fn new(
+        http: reqwest::Client,
+        core: CoreSender,
+        addr: SocketAddr,
+        wait: Duration,
+    ) -> PlatformClient {
+        PlatformClient { http, core, addr, wait }
+    }
+
+    /// Watches the configuration once.
+    pub(crate) async fn read_config(self, after: u64) {
+        let read = self.watch::<ConfigReply>("config", after).await;
+        let read = read.map(|reply| {
+            reply.map(|reply| PublishedConfig { version: reply.version, text: reply.text.into() })
+        });
+        self.core.send(Input::Config(read)).await;
+    }
+
+    /// Watches the live list once.
+    pub(crate) async fn read_live(self, after: u64) {
+        let read = self.watch::<LiveReply>("live", after).await;
+        let read = read.map(|reply| reply.map(LiveList::from));
+        self.core.send(Input::Live(read)).await;
+    }
+
+    async fn watch<T: DeserializeOwned>(
+        &self,
+        what: &str,
+        after: u64,
+    ) -> Result<Option<T>, ReadFailure> {
+        let wait = self.wait.as_millis();
+        let url = format!("http://{}/{what}?after={after}&wait_ms={wait}", self.addr);
+        let request = self.http.get(url).timeout(self.wait + WATCH_GRACE);
+        let response = request.send().await.map_err(|_| ReadFailure::Down)?;
+        match response.status() {
+            StatusCode::NOT_MODIFIED => Ok(None),
+            StatusCode::TOO_MANY_REQUESTS => Err(ReadFailure::RateLimited),
+            status if status.is_success() => {
+                response.json().await.map(Some).map_err(|_| ReadFailure::Down)
+            }
+            _ => Err(ReadFailure::Down),
+        }
+    }
+}
