settings: read and check a process's settings from JSON

Every process learns its addresses and zone from a JSON file. A table of fields (form, unit, default, range, meaning) is the one place that says what may stand there; a custom serde visitor checks each value against it while reading, so that a message has file, line, column and field. serde's derived messages name the place but not the field for a wrong type, and name Rust types; they were left.

The core's share of the settings is the plain struct state::Tuning, whose DEFAULT the table uses.

--- /dev/null
+++ b/lib/src/protocol/settings/document.rs
@@ -0,0 +1,93 @@
+//! Reads a settings file's JSON object field by field, so that each mistake is named with its place.
+
+use serde::de::DeserializeSeed;
+use serde::de::Deserializer;
+use serde::de::Error;
+use serde::de::MapAccess;
+use serde::de::Visitor;
+use serde_json::Map;
+use serde_json::Value;
+
+use super::error::FieldFault;
+use super::error::Place;
+use super::error::SettingsFault;
+use super::field::Field;
+use super::fields::FIELDS;
+
+/// Reads `text` into a JSON object that has every field with a default and only known ones.
+pub(crate) fn read_document(text: &str) -> Result<Map<String, Value>, SettingsFault> {
+    let mut fault = None;
+    let mut input = serde_json::Deserializer::from_str(text);
+    let fields = FieldsSeed { fault: &mut fault }
+        .deserialize(&mut input)
+        .and_then(|fields| input.end().map(|()| fields));
+    let mut fields = fields.map_err(|error| located(fault, &error))?;
+    for field in FIELDS {
+        if let Some(value) = field.default_value() {
+            fields.entry(field.name).or_insert(value);
+        }
+    }
+    Ok(fields)
+}
+
+/// Joins what was wrong with the place where reading stopped.
+fn located(fault: Option<FieldFault>, error: &serde_json::Error) -> SettingsFault {
+    let place = Place { line: error.line(), column: error.column() };
+    match fault {
+        Some(fault) => SettingsFault::Field { place: Some(place), fault },
+        None => SettingsFault::Syntax { place, cause: syntax_cause(error) },
+    }
+}
+
+/// Returns the parser's message without the place, which is shown before it.
+fn syntax_cause(error: &serde_json::Error) -> String {
+    let text = error.to_string();
+    match text.rsplit_once(" at line ") {
+        Some((cause, _)) => cause.to_owned(),
+        None => text,
+    }
+}
+
+/// Reads the object and keeps the first wrong field aside, since serde's errors are only text.
+struct FieldsSeed<'a> {
+    fault: &'a mut Option<FieldFault>,
+}
+
+impl<'de> DeserializeSeed<'de> for FieldsSeed<'_> {
+    type Value = Map<String, Value>;
+
+    fn deserialize<D: Deserializer<'de>>(self, input: D) -> Result<Self::Value, D::Error> {
+        input.deserialize_map(self)
+    }
+}
+
+impl<'de> Visitor<'de> for FieldsSeed<'_> {
+    type Value = Map<String, Value>;
+
+    fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("a JSON object with the settings")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut entries: A) -> Result<Self::Value, A::Error> {
+        let mut fields = Map::new();
+        while let Some(name) = entries.next_key::<String>()? {
+            let field = find_field(&name).filter(|_| !fields.contains_key(&name));
+            let Some(field) = field else {
+                *self.fault = Some(FieldFault::unexpected(&name, fields.contains_key(&name)));
+                return Err(A::Error::custom("unexpected field"));
+            };
+            let value: Value = entries.next_value()?;
+            if !field.accepts(&value) {
+                *self.fault = Some(FieldFault::of_value(field, &value));
+                return Err(A::Error::custom("wrong value"));
+            }
+            fields.insert(name, value);
+        }
+        Ok(fields)
+    }
+}
+
+/// Returns the description of the field called `name`.
+fn find_field(name: &str) -> Option<&'static Field> {
+    FIELDS.iter().find(|field| field.name == name)
+}
--- /dev/null
+++ b/lib/src/protocol/settings/error.rs
@@ -0,0 +1,139 @@
+//! What can be wrong with a settings file.
+
+use std::fmt;
+
+use serde_json::Value;
+
+use super::field::Field;
+use super::fields::FIELDS;
+
+/// A place in a text; both numbers count from one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Place {
+    /// The line.
+    pub line: usize,
+    /// The column, in characters.
+    pub column: usize,
+}
+
+/// Says that settings could not be read, in one line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsError {
+    /// The settings file.
+    pub file: String,
+    /// What is wrong with it.
+    pub fault: SettingsFault,
+}
+
+/// What is wrong with a settings file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SettingsFault {
+    /// The file cannot be read.
+    Unreadable {
+        /// What the operating system says.
+        cause: String,
+    },
+    /// The text is not a JSON object.
+    Syntax {
+        /// Where reading stopped.
+        place: Place,
+        /// What the parser says.
+        cause: String,
+    },
+    /// A field is wrong, missing or does not go with another.
+    Field {
+        /// Where reading stopped; a missing field has no place.
+        place: Option<Place>,
+        /// What is wrong.
+        fault: FieldFault,
+    },
+}
+
+/// What is wrong with one field.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FieldFault {
+    /// The field.
+    pub field: String,
+    /// What was found.
+    pub found: String,
+    /// What was expected.
+    pub expected: String,
+}
+
+impl FieldFault {
+    /// Says that a field is unknown, or stands twice.
+    pub(crate) fn unexpected(name: &str, twice: bool) -> FieldFault {
+        let (found, expected) = match (twice, nearest_field(name)) {
+            (true, _) => ("the field a second time", "each field once".to_owned()),
+            (false, Some(near)) => ("an unknown field", format!("perhaps `{near}`")),
+            (false, None) => {
+                ("an unknown field", "a field that `wasabicrank settings` lists".to_owned())
+            }
+        };
+        FieldFault { field: name.to_owned(), found: found.to_owned(), expected }
+    }
+
+    /// Says that a value has not its field's form.
+    pub(crate) fn of_value(field: &Field, value: &Value) -> FieldFault {
+        FieldFault {
+            field: field.name.to_owned(),
+            found: field.show(value),
+            expected: field.expected(),
+        }
+    }
+
+    /// Says that a field is missing.
+    pub(crate) fn missing(field: &Field) -> FieldFault {
+        FieldFault {
+            field: field.name.to_owned(),
+            found: "nothing".to_owned(),
+            expected: field.expected(),
+        }
+    }
+}
+
+/// Returns the known field whose name differs least from `name`, if it is close.
+fn nearest_field(name: &str) -> Option<&'static str> {
+    let nearest = FIELDS.iter().min_by_key(|field| edit_distance(field.name, name))?;
+    (edit_distance(nearest.name, name) <= 2).then_some(nearest.name)
+}
+
+/// Returns how many characters must be inserted, removed or replaced to turn `a` into `b`.
+fn edit_distance(a: &str, b: &str) -> usize {
+    let b: Vec<char> = b.chars().take(64).collect();
+    let mut row: Vec<usize> = (0..=b.len()).collect();
+    for (i, from) in a.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = i + 1;
+        for (j, to) in b.iter().enumerate() {
+            let replaced = diagonal + usize::from(from != *to);
+            diagonal = row[j + 1];
+            row[j + 1] = replaced.min(row[j] + 1).min(diagonal + 1);
+        }
+    }
+    row[b.len()]
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let file = &self.file;
+        match &self.fault {
+            SettingsFault::Unreadable { cause } => write!(f, "{file}: cannot be read: {cause}"),
+            SettingsFault::Syntax { place, cause } => {
+                write!(f, "{file}:{}:{}: not a JSON object: {cause}", place.line, place.column)
+            }
+            SettingsFault::Field { place: Some(place), fault } => {
+                write!(f, "{file}:{}:{}: {fault}", place.line, place.column)
+            }
+            SettingsFault::Field { place: None, fault } => write!(f, "{file}: {fault}"),
+        }
+    }
+}
+
+impl fmt::Display for FieldFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: found {}, expected {}", self.field, self.found, self.expected)
+    }
+}
+
+impl std::error::Error for SettingsError {}
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod request;
 pub(crate) mod rules;
 pub(crate) mod time;
+pub(crate) mod tuning;
 
 pub use event::*;
 pub use fleet::*;
@@ -17,3 +18,4 @@
 pub use request::*;
 pub use rules::*;
 pub use time::*;
+pub use tuning::*;
