--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -3,3 +3,6 @@
 pub(crate) mod caller_api;
 pub(crate) mod engine_api;
 pub(crate) mod platform_api;
+pub(crate) mod settings;
+
+pub use settings::*;
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod request;
 pub(crate) mod rules;
 pub(crate) mod time;
+pub(crate) mod tuning;
 
 pub use answer::*;
 pub use event::*;
@@ -19,3 +20,4 @@
 pub use request::*;
 pub use rules::*;
 pub use time::*;
+pub use tuning::*;
