node: keep running completions by request, caller and deadline

Cause: the request's life needs one owner of its state. Ruled out: a timer per request, which the core cannot have. Change: a table with indexes; the core's thread that carries outputs out. Conclusion: not wired yet.

--- a/lib/src/coordination/node/io.rs
+++ b/lib/src/coordination/node/io.rs
@@ -9,11 +9,13 @@
 use crate::state::AttemptId;
 use crate::state::CallKey;
 use crate::state::EngineName;
+use crate::state::EngineReport;
 use crate::state::Event;
 use crate::state::HostName;
 use crate::state::Incarnation;
 use crate::state::LiveList;
 use crate::state::ModelName;
+use crate::state::Order;
 use crate::state::Priority;
 use crate::state::Prompt;
 use crate::state::Refusal;
@@ -49,7 +51,7 @@
     /// A caller closed its connection.
     CallerGone(CallerTicket),
     /// An engine's stream said something.
-    Engine(EngineReport),
+    Engine(StreamReport),
     /// The answer to `Output::PollEngine`.
     Polled(EnginePoll),
     /// A plain service answered, or did not.
@@ -118,14 +120,10 @@
     },
     /// Give an order to an engine.
     SendOrder {
-        /// The engine.
-        engine: EngineName,
-        /// Its address.
+        /// The engine's address.
         addr: SocketAddr,
-        /// The order.
-        order: EngineOrder,
-        /// The fencing number: the version of the configuration that it follows from.
-        fence: u64,
+        /// The order, with the fencing number of the configuration that it follows from.
+        order: Order,
     },
     /// The addresses of the peers changed.
     SetPeers(Vec<PeerAddr>),
@@ -299,9 +297,9 @@
     pub tokens: u32,
 }
 
-/// Something that an attempt's connection to an engine said.
+/// Something that an attempt's stream at an engine said.
 #[derive(Debug, Clone)]
-pub struct EngineReport {
+pub struct StreamReport {
     /// The attempt that the driver started the connection for.
     pub attempt: AttemptId,
     /// The engine.
@@ -411,21 +409,8 @@
     pub age: Duration,
     /// Prompt tokens read a second.
     pub prefill_rate: u32,
-    /// Whether the engine is leaving.
-    pub leaving: bool,
-    /// The models loaded.
-    pub models: Vec<EngineModel>,
-}
-
-/// A model on an engine.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct EngineModel {
-    /// Its name.
-    pub model: ModelName,
-    /// The version of its weights.
-    pub revision: String,
-    /// The adapters loaded beside it.
-    pub adapters: Vec<String>,
+    /// What orders can change, and whether the engine is leaving.
+    pub report: EngineReport,
 }
 
 /// How a call to a plain service ended.
@@ -468,46 +453,11 @@
     RateLimited,
 }
 
-/// An order to an engine.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum EngineOrder {
-    /// Load a version of a model's weights.
-    LoadModel {
-        /// The model.
-        model: ModelName,
-        /// The version.
-        revision: String,
-    },
-    /// Unload a version of a model's weights.
-    UnloadModel {
-        /// The model.
-        model: ModelName,
-        /// The version.
-        revision: String,
-    },
-    /// Load an adapter beside a model.
-    LoadAdapter {
-        /// The model.
-        model: ModelName,
-        /// The adapter.
-        adapter: String,
-    },
-    /// Change what the engine is used for.
-    SetRole {
-        /// The role.
-        role: crate::state::EngineRole,
-    },
-}
-
 /// How an order ended.
 #[derive(Debug, Clone)]
 pub struct OrderReport {
-    /// The engine.
-    pub engine: EngineName,
     /// The order.
-    pub order: EngineOrder,
-    /// The fencing number that it was sent with.
-    pub fence: u64,
+    pub order: Order,
     /// How it ended.
     pub result: OrderResult,
 }
--- /dev/null
+++ b/lib/src/coordination/node/running.rs
@@ -0,0 +1,153 @@
+//! The completions that entered at this entry host and have no final answer yet.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::io::CallerTicket;
+use crate::state::AnswerLog;
+use crate::state::AttemptId;
+use crate::state::Completion;
+use crate::state::EngineName;
+use crate::state::HostName;
+use crate::state::LongGroup;
+use crate::state::Moment;
+use crate::state::RequestId;
+
+/// One admitted completion.
+#[derive(Debug)]
+pub(super) struct Running {
+    /// What was asked for.
+    pub(super) completion: Completion,
+    /// The caller's connection.
+    pub(super) ticket: CallerTicket,
+    /// What was passed to the caller.
+    pub(super) answer: AnswerLog,
+    /// The number of the newest attempt.
+    pub(super) attempt: u32,
+    /// What it waits for.
+    pub(super) phase: Phase,
+    /// Engines that denied it or failed under it.
+    pub(super) excluded: Vec<EngineName>,
+    /// Whether any attempt reached an engine.
+    pub(super) ran: bool,
+    /// When the first token came.
+    pub(super) first: Option<Moment>,
+}
+
+/// What a completion waits for.
+#[derive(Debug)]
+pub(super) enum Phase {
+    /// Leave from an engine's dispatcher.
+    Asking(Asking),
+    /// An engine's stream.
+    Streaming(Streaming),
+    /// A group of engines that together hold a prompt over one engine's memory.
+    Group(Box<GroupPhase>),
+}
+
+/// A completion that waits for leave.
+#[derive(Debug, Clone)]
+pub(super) struct Asking {
+    /// The engine.
+    pub(super) engine: EngineName,
+    /// The dispatcher that was asked.
+    pub(super) dispatcher: HostName,
+    /// When it was last asked.
+    pub(super) asked: Moment,
+}
+
+/// A completion that an engine works on.
+#[derive(Debug, Clone)]
+pub(super) struct Streaming {
+    /// The engine.
+    pub(super) engine: EngineName,
+    /// Its address.
+    pub(super) addr: SocketAddr,
+    /// The dispatcher that gave leave.
+    pub(super) dispatcher: HostName,
+    /// When the stream was started.
+    pub(super) started: Moment,
+    /// When prefill was over.
+    pub(super) flowing: Option<Moment>,
+    /// When the engine last said something.
+    pub(super) heard: Moment,
+}
+
+/// A prompt that is read by several engines.
+#[derive(Debug)]
+pub(super) struct GroupPhase {
+    /// The segments and how far they are.
+    pub(super) group: LongGroup,
+    /// Where the last segment's answer comes from, once it is asked for.
+    pub(super) stream: Option<Streaming>,
+}
+
+impl Running {
+    /// Returns the newest attempt.
+    pub(super) fn attempt_id(&self) -> AttemptId {
+        AttemptId { request: self.completion.id, number: self.attempt }
+    }
+
+    /// Returns the text that was passed to the caller.
+    pub(super) fn answered(&self) -> Arc<str> {
+        Arc::from(self.answer.text())
+    }
+}
+
+/// All running completions, found by request, by caller and by deadline.
+#[derive(Debug, Default)]
+pub(super) struct RunningTable {
+    requests: HashMap<RequestId, Running>,
+    tickets: HashMap<CallerTicket, RequestId>,
+    deadlines: BTreeSet<(Moment, RequestId)>,
+}
+
+impl RunningTable {
+    /// Adds a completion.
+    pub(super) fn insert(&mut self, running: Running) {
+        let id = running.completion.id;
+        self.tickets.insert(running.ticket, id);
+        self.deadlines.insert((running.completion.deadline, id));
+        self.requests.insert(id, running);
+    }
+
+    /// Removes a completion that has its final answer.
+    pub(super) fn remove(&mut self, id: RequestId) -> Option<Running> {
+        let running = self.requests.remove(&id)?;
+        self.tickets.remove(&running.ticket);
+        self.deadlines.remove(&(running.completion.deadline, id));
+        Some(running)
+    }
+
+    /// Returns one completion.
+    pub(super) fn get_mut(&mut self, id: RequestId) -> Option<&mut Running> {
+        self.requests.get_mut(&id)
+    }
+
+    /// Returns one completion.
+    pub(super) fn get(&self, id: RequestId) -> Option<&Running> {
+        self.requests.get(&id)
+    }
+
+    /// Returns the completion of a caller.
+    pub(super) fn of_ticket(&self, ticket: CallerTicket) -> Option<RequestId> {
+        self.tickets.get(&ticket).copied()
+    }
+
+    /// Returns a completion whose deadline has passed.
+    pub(super) fn overdue(&self, now: Moment) -> Option<RequestId> {
+        self.deadlines.first().filter(|(deadline, _)| *deadline <= now).map(|(_, id)| *id)
+    }
+
+    /// Returns all completions.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Running> {
+        self.requests.values()
+    }
+
+    /// Returns how many there are.
+    pub(super) fn len(&self) -> usize {
+        self.requests.len()
+    }
+}
--- a/lib/src/protocol/engine_api.rs
+++ b/lib/src/protocol/engine_api.rs
@@ -6,13 +6,15 @@
 use serde::Serialize;
 
 use crate::coordination::EngineFacts;
-use crate::coordination::EngineModel;
 use crate::coordination::EngineSignal;
 use crate::coordination::Finish;
 use crate::coordination::ListedAttempt;
 use crate::coordination::ListedKind;
 use crate::coordination::Segment;
+use crate::state::EngineReport;
+use crate::state::EngineRole;
 use crate::state::Incarnation;
+use crate::state::LoadedModel;
 use crate::state::ModelName;
 use crate::state::ParseRequestIdError;
 
@@ -195,6 +197,8 @@
     pub prefill_rate: u32,
     /// Whether the engine finishes its work and takes no more.
     pub leaving: bool,
+    /// What the engine is used for.
+    pub role: String,
     /// The models loaded.
     pub models: Vec<LoadedModelJson>,
 }
@@ -213,19 +217,23 @@
 
 impl From<LoadReply> for EngineFacts {
     fn from(reply: LoadReply) -> EngineFacts {
-        let models = reply.models.into_iter().map(EngineModel::from).collect();
+        let models = reply.models.into_iter().map(LoadedModel::from).collect();
+        let role = match reply.role.as_str() {
+            "short" => EngineRole::Short,
+            "long" => EngineRole::Long,
+            _ => EngineRole::Any,
+        };
         EngineFacts {
             age: Duration::from_millis(reply.age_ms),
             prefill_rate: reply.prefill_rate,
-            leaving: reply.leaving,
-            models,
+            report: EngineReport { role, models, leaving: reply.leaving },
         }
     }
 }
 
-impl From<LoadedModelJson> for EngineModel {
-    fn from(json: LoadedModelJson) -> EngineModel {
-        EngineModel {
+impl From<LoadedModelJson> for LoadedModel {
+    fn from(json: LoadedModelJson) -> LoadedModel {
+        LoadedModel {
             model: ModelName::new(json.model),
             revision: json.revision,
             adapters: json.adapters,
--- /dev/null
+++ b/lib/src/transport/core_thread.rs
@@ -0,0 +1,276 @@
+//! The thread that owns the core: takes inputs from its rings and carries out its outputs.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use crossbeam_channel::Receiver;
+use slog::Logger;
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+use super::engine_client::EngineClient;
+use super::event_log;
+use super::metrics::Metrics;
+use super::peer_links::PeerLinks;
+use super::platform_client::PlatformClient;
+use super::ring::CoreMessage;
+use super::ring::CoreSender;
+use super::service_client::ServiceClient;
+use crate::coordination::AnswerPiece;
+use crate::coordination::CallerTicket;
+use crate::coordination::StreamReport;
+use crate::coordination::EngineSignal;
+use crate::coordination::Input;
+use crate::coordination::Node;
+use crate::coordination::NodeStatus;
+use crate::coordination::Output;
+use crate::state::AttemptId;
+use crate::state::Moment;
+use crate::state::Now;
+use crate::state::TimeLine;
+use crate::state::WallTime;
+
+/// The longest time between two ticks of the core.
+const TICK: Duration = Duration::from_millis(10);
+
+/// How often the snapshot for operators is renewed.
+const SNAPSHOT_EVERY: Duration = Duration::from_millis(500);
+
+/// How many messages of the work ring are taken before the control ring is looked at again.
+const WORK_BATCH: usize = 64;
+
+/// What operators' pages read; the core's thread writes it.
+pub(crate) struct Shown {
+    /// The events of this process.
+    pub(crate) time_line: Mutex<TimeLine>,
+    /// The newest snapshot of the core.
+    pub(crate) status: Mutex<Arc<NodeStatus>>,
+    /// The metrics.
+    pub(crate) metrics: Metrics,
+    /// Whether the balancer may send more requests.
+    pub(crate) healthy: Arc<AtomicBool>,
+}
+
+/// The receiving ends of the rings into the core.
+pub(crate) struct CoreRings {
+    /// Gossip, configuration, reports and time.
+    pub(crate) control: Receiver<CoreMessage>,
+    /// Requests and the pieces of answers.
+    pub(crate) work: Receiver<CoreMessage>,
+}
+
+/// The clients through which the core's outputs go out.
+pub(crate) struct Clients {
+    /// To the peers.
+    pub(crate) links: PeerLinks,
+    /// To the engines.
+    pub(crate) engines: EngineClient,
+    /// To the plain services.
+    pub(crate) services: ServiceClient,
+    /// To the platform.
+    pub(crate) platform: PlatformClient,
+    /// Where their calls run.
+    pub(crate) runtime: Handle,
+    /// The way back into the core.
+    pub(crate) core: CoreSender,
+}
+
+/// Drives the core until its planned stop is over.
+pub(crate) struct CoreThread {
+    node: Node,
+    rings: CoreRings,
+    clients: Clients,
+    shown: Arc<Shown>,
+    log: Logger,
+    start: Instant,
+    callers: HashMap<CallerTicket, mpsc::Sender<AnswerPiece>>,
+    streams: HashMap<AttemptId, AbortHandle>,
+    snapshot_at: Moment,
+    stopped: bool,
+}
+
+impl CoreThread {
+    /// Prepares the thread; `start` is the zero of the core's monotonic clock.
+    pub(crate) fn new(
+        node: Node,
+        rings: CoreRings,
+        clients: Clients,
+        shown: Arc<Shown>,
+        log: Logger,
+        start: Instant,
+    ) -> CoreThread {
+        CoreThread {
+            node,
+            rings,
+            clients,
+            shown,
+            log,
+            start,
+            callers: HashMap::new(),
+            streams: HashMap::new(),
+            snapshot_at: Moment::default(),
+            stopped: false,
+        }
+    }
+
+    /// Runs until the planned stop is over.
+    pub(crate) fn run(mut self) {
+        let mut ticked = Moment::default();
+        while !self.stopped {
+            self.wait();
+            self.drain_control();
+            for _ in 0..WORK_BATCH {
+                let Ok(message) = self.rings.work.try_recv() else { break };
+                self.take(message);
+            }
+            let now = self.now().mono;
+            if now.since(ticked) >= TICK {
+                ticked = now;
+                self.handle(Input::Tick);
+            }
+            self.snapshot(now);
+        }
+        self.clients.links.stop();
+    }
+
+    /// Waits until a ring has something or a tick is due.
+    fn wait(&self) {
+        let mut select = crossbeam_channel::Select::new();
+        select.recv(&self.rings.control);
+        select.recv(&self.rings.work);
+        let _ = select.ready_timeout(TICK);
+    }
+
+    fn drain_control(&mut self) {
+        while let Ok(message) = self.rings.control.try_recv() {
+            self.take(message);
+        }
+    }
+
+    fn take(&mut self, message: CoreMessage) {
+        match message {
+            CoreMessage::Input(input) => {
+                self.note_end(&input);
+                self.handle(input);
+            }
+            CoreMessage::Caller { input, ticket, sink } => {
+                self.callers.insert(ticket, sink);
+                self.handle(input);
+            }
+        }
+    }
+
+    /// Forgets the handle of a stream that has ended by itself.
+    fn note_end(&mut self, input: &Input) {
+        let Input::Engine(StreamReport { attempt, signal, .. }) = input else { return };
+        let over = match signal {
+            EngineSignal::Lost { .. } | EngineSignal::Refused(_) => true,
+            EngineSignal::Done { .. } | EngineSignal::Exported { .. } => true,
+            EngineSignal::Started { .. } | EngineSignal::Piece { .. } => false,
+        };
+        if over {
+            self.streams.remove(attempt);
+        }
+    }
+
+    fn handle(&mut self, input: Input) {
+        let now = self.now();
+        for output in self.node.handle(now, input) {
+            self.carry_out(now, output);
+        }
+    }
+
+    fn now(&self) -> Now {
+        let micros = self.start.elapsed().as_micros();
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+        Now {
+            mono: Moment(u64::try_from(micros).unwrap_or(u64::MAX)),
+            wall: WallTime(u64::try_from(wall).unwrap_or(u64::MAX)),
+        }
+    }
+
+    fn carry_out(&mut self, now: Now, output: Output) {
+        let Clients { links, engines, services, platform, runtime, .. } = &self.clients;
+        match output {
+            Output::Send { to, message } => {
+                // A refused send is counted by the links and made good by the core's own timers.
+                let _ = links.send(&to, &message);
+            }
+            Output::Answer { ticket, piece } => self.answer(ticket, piece),
+            Output::StartStream(start) => {
+                let attempt = start.attempt;
+                let task = runtime.spawn(engines.clone().run(*start));
+                self.streams.insert(attempt, task.abort_handle());
+            }
+            Output::CancelStream { attempt, addr } => {
+                if let Some(task) = self.streams.remove(&attempt) {
+                    task.abort();
+                }
+                runtime.spawn(engines.clone().cancel(attempt, addr));
+            }
+            Output::PollEngine { engine, addr } => {
+                runtime.spawn(engines.clone().poll(engine, addr));
+            }
+            Output::SendCall { addr, call, left } => {
+                runtime.spawn(services.clone().call(addr, call, left));
+            }
+            Output::ReadConfig { after } => {
+                runtime.spawn(platform.clone().read_config(after));
+            }
+            Output::ReadLive { after } => {
+                runtime.spawn(platform.clone().read_live(after));
+            }
+            Output::SendOrder { addr, order } => {
+                runtime.spawn(engines.clone().order(addr, order));
+            }
+            Output::SetPeers(peers) => links.set_peers(&peers),
+            Output::Note(event) => {
+                event_log::write(&self.log, &event);
+                self.shown.metrics.observe(&event);
+                let mut line = lock(&self.shown.time_line);
+                line.push(now.wall, event);
+            }
+            Output::Stopped => self.stopped = true,
+        }
+    }
+
+    /// Passes a piece to a caller; one that reads too slowly is given up.
+    fn answer(&mut self, ticket: CallerTicket, piece: AnswerPiece) {
+        let more = matches!(piece, AnswerPiece::Accepted(_) | AnswerPiece::Text { .. });
+        let Some(sink) = self.callers.get(&ticket) else { return };
+        let passed = sink.try_send(piece).is_ok();
+        if !more || !passed {
+            self.callers.remove(&ticket);
+        }
+        if more && !passed {
+            let gone = CoreMessage::Input(Input::CallerGone(ticket));
+            // A full ring loses this; the deadline then ends the request instead.
+            let _ = self.clients.core.try_send(gone);
+        }
+    }
+
+    fn snapshot(&mut self, now: Moment) {
+        if now < self.snapshot_at {
+            return;
+        }
+        self.snapshot_at = now + SNAPSHOT_EVERY;
+        let status = self.node.status(now);
+        self.shown.healthy.store(status.ready, Ordering::Relaxed);
+        self.shown.metrics.record(&status, &self.clients.links.counters(), self.clients.core.shed());
+        *lock(&self.shown.status) = Arc::new(status);
+    }
+}
+
+/// Locks `mutex`, also after a thread that held it has stopped in the middle.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/lib/src/transport/engine_client.rs
+++ b/lib/src/transport/engine_client.rs
@@ -11,9 +11,8 @@
 
 use super::ring::CoreSender;
 use crate::coordination::EngineFacts;
-use crate::coordination::EngineOrder;
 use crate::coordination::EnginePoll;
-use crate::coordination::EngineReport;
+use crate::coordination::StreamReport;
 use crate::coordination::EngineSignal;
 use crate::coordination::EngineWord;
 use crate::coordination::Input;
@@ -31,6 +30,8 @@
 use crate::state::AttemptId;
 use crate::state::EngineName;
 use crate::state::EngineRole;
+use crate::state::Order;
+use crate::state::OrderAction;
 
 /// How long a call without a stream may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -149,7 +150,7 @@
 
     async fn report(&self, start: &StreamStart, signal: EngineSignal) {
         let report =
-            EngineReport { attempt: start.attempt, engine: start.engine.clone(), signal };
+            StreamReport { attempt: start.attempt, engine: start.engine.clone(), signal };
         self.core.send(Input::Engine(report)).await;
     }
 
@@ -189,23 +190,16 @@
     }
 
     /// Gives an order and reports how it ended.
-    pub(crate) async fn order(
-        self,
-        engine: EngineName,
-        addr: SocketAddr,
-        order: EngineOrder,
-        fence: u64,
-    ) {
+    pub(crate) async fn order(self, addr: SocketAddr, order: Order) {
         let url = format!("http://{addr}/v1/orders");
-        let body = order_body(&order, fence);
+        let body = order_body(&order);
         let sent = self.http.post(url).json(&body).timeout(ORDER_TIMEOUT).send().await;
         let result = match sent {
             Ok(response) if response.status().is_success() => OrderResult::Done,
             Ok(response) if response.status().as_u16() == 409 => OrderResult::Stale,
             _ => OrderResult::Failed,
         };
-        let report = OrderReport { engine, order, fence, result };
-        self.core.send(Input::Ordered(report)).await;
+        self.core.send(Input::Ordered(OrderReport { order, result })).await;
     }
 }
 
@@ -257,18 +251,19 @@
     reply.attempts.iter().filter_map(|entry| ListedAttempt::try_from(entry).ok()).collect()
 }
 
-fn order_body(order: &EngineOrder, fence: u64) -> serde_json::Value {
-    match order {
-        EngineOrder::LoadModel { model, revision } => json!({
+fn order_body(order: &Order) -> serde_json::Value {
+    let fence = order.fence;
+    match &order.action {
+        OrderAction::LoadModel { model, revision } => json!({
             "fence": fence, "load_model": {"model": model.as_str(), "revision": revision},
         }),
-        EngineOrder::UnloadModel { model, revision } => json!({
+        OrderAction::UnloadModel { model, revision } => json!({
             "fence": fence, "unload_model": {"model": model.as_str(), "revision": revision},
         }),
-        EngineOrder::LoadAdapter { model, adapter } => json!({
+        OrderAction::LoadAdapter { model, adapter } => json!({
             "fence": fence, "load_adapter": {"model": model.as_str(), "adapter": adapter},
         }),
-        EngineOrder::SetRole { role } => json!({
+        OrderAction::SetRole { role } => json!({
             "fence": fence, "set_role": {"role": role_word(*role)},
         }),
     }
--- a/lib/src/transport/ring.rs
+++ b/lib/src/transport/ring.rs
@@ -1,4 +1,4 @@
-//! The bounded ring into the core's thread.
+//! The bounded rings into the core's thread.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -24,10 +24,13 @@
     Caller { input: Input, ticket: CallerTicket, sink: mpsc::Sender<AnswerPiece> },
 }
 
-/// The sending end of the ring.
+/// The sending ends of the two rings into the core.
+///
+/// Control inputs have a ring of their own, so that they never wait behind pieces of answers.
 #[derive(Clone)]
 pub(crate) struct CoreSender {
-    ring: Sender<CoreMessage>,
+    control: Sender<CoreMessage>,
+    work: Sender<CoreMessage>,
     shed: Arc<AtomicU64>,
 }
 
@@ -36,14 +39,21 @@
 pub(crate) struct RingFull;
 
 impl CoreSender {
-    /// Wraps the sending end of a bounded ring.
-    pub(crate) fn new(ring: Sender<CoreMessage>) -> CoreSender {
-        CoreSender { ring, shed: Arc::new(AtomicU64::new(0)) }
+    /// Wraps the sending ends of two bounded rings.
+    pub(crate) fn new(control: Sender<CoreMessage>, work: Sender<CoreMessage>) -> CoreSender {
+        CoreSender { control, work, shed: Arc::new(AtomicU64::new(0)) }
+    }
+
+    fn ring(&self, message: &CoreMessage) -> &Sender<CoreMessage> {
+        match message {
+            CoreMessage::Input(input) if is_control(input) => &self.control,
+            _ => &self.work,
+        }
     }
 
     /// Sends `message`, or sheds and counts it if the ring is full.
     pub(crate) fn try_send(&self, message: CoreMessage) -> Result<(), RingFull> {
-        match self.ring.try_send(message) {
+        match self.ring(&message).try_send(message) {
             Ok(()) => Ok(()),
             Err(TrySendError::Full(_)) | Err(TrySendError::Disconnected(_)) => {
                 self.shed.fetch_add(1, Ordering::Relaxed);
@@ -56,7 +66,7 @@
     pub(crate) async fn send(&self, input: Input) {
         let mut message = CoreMessage::Input(input);
         loop {
-            match self.ring.try_send(message) {
+            match self.ring(&message).try_send(message) {
                 Ok(()) | Err(TrySendError::Disconnected(_)) => return,
                 Err(TrySendError::Full(back)) => message = back,
             }
@@ -69,3 +79,14 @@
         self.shed.load(Ordering::Relaxed)
     }
 }
+
+/// Tells whether an input is about the fleet rather than about one request.
+fn is_control(input: &Input) -> bool {
+    match input {
+        Input::Peer(envelope) => envelope.message.is_control(),
+        Input::Tick | Input::Polled(_) | Input::Config(_) | Input::Live(_) => true,
+        Input::Ordered(_) | Input::Stop => true,
+        Input::Completion { .. } | Input::Call { .. } | Input::CallerGone(_) => false,
+        Input::Engine(_) | Input::Service(_) => false,
+    }
+}
