testutils: add the engine stand-in

Tests and the demo need engines without hardware. The model is a pure state machine in virtual time, so that a replay and the HTTP stand-in share it: continuous batching in steps, chunked prefill by priority, memory, prefix cache, resume, exports. The HTTP stand-in drives it on real time behind a relay, which carries faults of host and link (kill, freeze, cut, delay); faults of the answer stream are switches of the stand-in itself.

The answer's text follows from the prompt's hash and the token's number, so that a test can check whole answers after a resume on another engine.

--- /dev/null
+++ b/lib/testutils/src/engine_model.rs
@@ -0,0 +1,498 @@
+//! An engine in virtual time: continuous batching with chunked prefill, without any I/O.
+//!
+//! The engine works in steps. A step reads one chunk of waiting prompts, by priority and then in
+//! order of arrival, and makes one token for each stream whose prompt is read. The HTTP stand-in
+//! drives it on real time, a replay on its own clock.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use wasabicrank_lib::state::AttemptId;
+use wasabicrank_lib::state::Incarnation;
+use wasabicrank_lib::state::Moment;
+
+use crate::prefix_cache::CacheEvent;
+use crate::prefix_cache::PrefixCache;
+use crate::text::BLOCK_TOKENS;
+
+/// The speed and size of an engine.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ModelConfig {
+    /// The memory for prompts and answers, in tokens.
+    pub memory: u32,
+    /// The rate at which an idle engine reads a prompt, in tokens a second.
+    pub prefill_rate: u32,
+    /// The most prompt tokens read in one step.
+    pub chunk_tokens: u32,
+    /// The time of a step that makes tokens, beside the time for prompts and streams.
+    pub step_base: Duration,
+    /// The time that each stream adds to a step.
+    pub step_stream: Duration,
+    /// Whether each token is an event; a replay that counts only first and last ones turns it off.
+    pub token_events: bool,
+}
+
+impl Default for ModelConfig {
+    fn default() -> Self {
+        ModelConfig {
+            memory: 400_000,
+            prefill_rate: 20_000,
+            chunk_tokens: 512,
+            step_base: Duration::from_millis(12),
+            step_stream: Duration::from_micros(150),
+            token_events: true,
+        }
+    }
+}
+
+/// What is to come of a prompt that was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Work {
+    /// An answer.
+    Stream {
+        /// The answer tokens that the caller already has, to be read after the prompt.
+        resume_from: u32,
+        /// The answer's whole length in tokens.
+        answer_tokens: u32,
+        /// The most tokens that were allowed.
+        max_tokens: u32,
+    },
+    /// A segment of a split prompt, held until it is cancelled.
+    Export,
+}
+
+/// A request to an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The incarnation of the entry host that answers for it.
+    pub owner: Incarnation,
+    /// Higher goes first; 0 to 9.
+    pub priority: u8,
+    /// The prompt's length, of this segment if it is split.
+    pub prompt_tokens: u32,
+    /// The hash at the end of each whole block of the prompt.
+    pub blocks: Vec<u64>,
+    /// What is to come of it.
+    pub work: Work,
+}
+
+/// Why an engine did not take an order; nothing of it runs or is held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rejection {
+    /// The prompt does not fit into the memory that is left.
+    MemoryFull,
+    /// An attempt with this name is here already.
+    Duplicate,
+}
+
+/// Why a stream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Finish {
+    /// The answer was whole.
+    Stop,
+    /// The answer reached the most tokens that were allowed.
+    Length,
+}
+
+/// Something that an engine did.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineEvent {
+    /// When.
+    pub at: Moment,
+    /// The attempt that it was done for.
+    pub attempt: AttemptId,
+    /// What.
+    pub kind: EngineEventKind,
+}
+
+/// What an engine did.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EngineEventKind {
+    /// The prompt was read, `cached` tokens of it from the cache, in `prefill` since its turn came.
+    Started { cached: u32, prefill: Duration },
+    /// One answer token was made; `offset` tokens of the answer stand before it.
+    Token { offset: u32 },
+    /// The answer ended; it has `tokens` in all.
+    Finished { tokens: u32, finish: Finish },
+    /// A segment was read and is held as the export `export`.
+    Exported { export: u64, tokens: u32 },
+    /// The engine ran out of memory and dropped the attempt.
+    OutOfMemory,
+}
+
+/// What an engine holds for one attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Holding {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The incarnation of the entry host that answers for it.
+    pub owner: Incarnation,
+    /// Whether it is a segment of a split prompt.
+    pub export: bool,
+    /// The memory that it holds, in tokens.
+    pub held: u32,
+    /// When it came.
+    pub since: Moment,
+}
+
+/// What an engine says of its load.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ModelLoad {
+    /// The prompt tokens that are still to be read.
+    pub queued_tokens: u32,
+    /// The attempts that are here.
+    pub running: u32,
+    /// The memory that is held, in tokens.
+    pub held: u32,
+}
+
+/// An attempt that is here.
+#[derive(Debug, Clone)]
+struct Attempt {
+    order: Order,
+    since: Moment,
+    /// When its first chunk was read.
+    begun: Option<Moment>,
+    /// The tokens still to be read.
+    unread: u32,
+    cached: u32,
+    /// The blocks that it keeps in the cache.
+    pinned: usize,
+    /// The answer tokens made or read so far.
+    made: u32,
+    held: u32,
+    /// Whether its reader has gone, so that only a cancel frees it.
+    abandoned: bool,
+}
+
+/// A step under way.
+#[derive(Debug, Clone)]
+struct Step {
+    ends: Moment,
+    /// The prompts read in it, with how many tokens.
+    chunks: Vec<(u64, u32)>,
+    /// The streams that get a token.
+    streams: Vec<u64>,
+}
+
+/// An engine in virtual time.
+#[derive(Debug, Clone)]
+pub struct EngineModel {
+    config: ModelConfig,
+    now: Moment,
+    step: Option<Step>,
+    attempts: BTreeMap<u64, Attempt>,
+    by_name: HashMap<AttemptId, u64>,
+    /// Prompts to read, by priority and then by arrival.
+    waiting: BTreeSet<(Reverse<u8>, u64)>,
+    decoding: BTreeSet<u64>,
+    cache: PrefixCache,
+    events: Vec<EngineEvent>,
+    next_seq: u64,
+    held: u32,
+    queued_tokens: u32,
+    peak_held: u32,
+    over_memory: u64,
+}
+
+impl EngineModel {
+    /// Makes an idle engine.
+    ///
+    /// ```
+    /// use wasabicrank_testutils::engine_model::{EngineModel, ModelConfig};
+    /// let model = EngineModel::new(ModelConfig::default());
+    /// assert_eq!(model.next_event(), None);
+    /// ```
+    pub fn new(config: ModelConfig) -> EngineModel {
+        EngineModel {
+            config,
+            now: Moment(0),
+            step: None,
+            attempts: BTreeMap::new(),
+            by_name: HashMap::new(),
+            waiting: BTreeSet::new(),
+            decoding: BTreeSet::new(),
+            cache: PrefixCache::default(),
+            events: Vec::new(),
+            next_seq: 1,
+            held: 0,
+            queued_tokens: 0,
+            peak_held: 0,
+            over_memory: 0,
+        }
+    }
+
+    /// Takes an order at `now`, or says why not.
+    pub fn submit(&mut self, now: Moment, order: Order) -> Result<(), Rejection> {
+        self.run_until(now);
+        if self.by_name.contains_key(&order.attempt) {
+            return Err(Rejection::Duplicate);
+        }
+        let made = match order.work {
+            Work::Stream { resume_from, .. } => resume_from,
+            Work::Export => 0,
+        };
+        let read = order.prompt_tokens.saturating_add(made);
+        if read > self.config.memory - self.held.min(self.config.memory) {
+            return Err(Rejection::MemoryFull);
+        }
+        let seq = self.next_seq;
+        self.next_seq += 1;
+        self.waiting.insert((Reverse(order.priority), seq));
+        self.by_name.insert(order.attempt, seq);
+        self.queued_tokens += read;
+        self.hold(read);
+        let attempt = Attempt {
+            order,
+            since: now,
+            begun: None,
+            unread: read,
+            cached: 0,
+            pinned: 0,
+            made,
+            held: read,
+            abandoned: false,
+        };
+        self.attempts.insert(seq, attempt);
+        self.begin_step();
+        Ok(())
+    }
+
+    /// Frees all that an attempt holds; tells whether there was any.
+    pub fn cancel(&mut self, now: Moment, attempt: AttemptId) -> bool {
+        self.run_until(now);
+        let Some(&seq) = self.by_name.get(&attempt) else { return false };
+        self.release(seq);
+        true
+    }
+
+    /// Notes that nobody reads an attempt's answer any more.
+    ///
+    /// The engine finishes the answer and then holds its memory until the attempt is cancelled.
+    pub fn abandon(&mut self, now: Moment, attempt: AttemptId) {
+        self.run_until(now);
+        if let Some(entry) = self.by_name.get(&attempt).and_then(|seq| self.attempts.get_mut(seq)) {
+            entry.abandoned = true;
+        }
+    }
+
+    /// Returns when the engine does something next, if it is not idle.
+    pub fn next_event(&self) -> Option<Moment> {
+        if self.events.is_empty() {
+            self.step.as_ref().map(|step| step.ends)
+        } else {
+            Some(self.now)
+        }
+    }
+
+    /// Works until `now` and returns what was done since the last call, in order of time.
+    pub fn advance(&mut self, now: Moment) -> Vec<EngineEvent> {
+        self.run_until(now);
+        std::mem::take(&mut self.events)
+    }
+
+    /// Returns the load at the moment up to which the engine has worked.
+    pub fn load(&self) -> ModelLoad {
+        ModelLoad {
+            queued_tokens: self.queued_tokens,
+            running: u32::try_from(self.attempts.len()).unwrap_or(u32::MAX),
+            held: self.held,
+        }
+    }
+
+    /// Returns what each attempt holds, oldest first.
+    pub fn holdings(&self) -> Vec<Holding> {
+        let holding = |attempt: &Attempt| Holding {
+            attempt: attempt.order.attempt,
+            owner: attempt.order.owner,
+            export: attempt.order.work == Work::Export,
+            held: attempt.held,
+            since: attempt.since,
+        };
+        self.attempts.values().map(holding).collect()
+    }
+
+    /// Returns how many of the first `blocks` are cached.
+    pub fn cached_blocks(&self, blocks: &[u64]) -> usize {
+        self.cache.hits(blocks)
+    }
+
+    /// Takes the changes of the prefix cache since the last call.
+    pub fn take_cache_events(&mut self) -> Vec<CacheEvent> {
+        self.cache.take_events()
+    }
+
+    /// Returns the most memory that was ever held, in tokens.
+    pub fn peak_held(&self) -> u32 {
+        self.peak_held
+    }
+
+    /// Returns how often an answer grew past the memory, which drops it.
+    pub fn over_memory(&self) -> u64 {
+        self.over_memory
+    }
+
+    /// Returns the speed and size.
+    pub fn config(&self) -> &ModelConfig {
+        &self.config
+    }
+
+    fn run_until(&mut self, now: Moment) {
+        while let Some(step) = self.step.take_if(|step| step.ends <= now) {
+            self.now = step.ends;
+            self.finish_step(step);
+            self.begin_step();
+        }
+        self.now = self.now.max(now);
+    }
+
+    /// Starts the next step if there is anything to do and none is under way.
+    fn begin_step(&mut self) {
+        if self.step.is_some() {
+            return;
+        }
+        let (chunks, read) = self.choose_chunks();
+        let streams: Vec<u64> = self.decoding.iter().copied().collect();
+        if chunks.is_empty() && streams.is_empty() {
+            return;
+        }
+        let micros = u64::from(read) * 1_000_000 / u64::from(self.config.prefill_rate.max(1));
+        let mut span = Duration::from_micros(micros);
+        if !streams.is_empty() {
+            let count = u32::try_from(streams.len()).unwrap_or(u32::MAX);
+            span += self.config.step_base + self.config.step_stream * count;
+        }
+        // A step always takes some time, so that a whole cache hit cannot stop the clock.
+        let ends = self.now + span.max(Duration::from_micros(1));
+        self.step = Some(Step { ends, chunks, streams });
+    }
+
+    /// Fills one chunk from the waiting prompts; returns the parts and the tokens in all.
+    fn choose_chunks(&mut self) -> (Vec<(u64, u32)>, u32) {
+        let mut chunks = Vec::new();
+        let mut left = self.config.chunk_tokens;
+        for &(_, seq) in &self.waiting {
+            if left == 0 {
+                break;
+            }
+            let Some(attempt) = self.attempts.get_mut(&seq) else { continue };
+            if attempt.begun.is_none() {
+                attempt.begun = Some(self.now);
+                let cached = use_cache(&mut self.cache, attempt);
+                self.queued_tokens -= cached;
+            }
+            let part = attempt.unread.min(left);
+            left -= part;
+            chunks.push((seq, part));
+        }
+        (chunks, self.config.chunk_tokens - left)
+    }
+
+    fn finish_step(&mut self, step: Step) {
+        for (seq, part) in step.chunks {
+            let Some(attempt) = self.attempts.get_mut(&seq) else { continue };
+            attempt.unread -= part;
+            self.queued_tokens -= part;
+            if attempt.unread == 0 {
+                self.finish_prefill(seq);
+            }
+        }
+        for seq in step.streams {
+            self.make_token(seq);
+        }
+    }
+
+    /// Moves an attempt whose prompt was read on to its answer, or to a held export.
+    fn finish_prefill(&mut self, seq: u64) {
+        let Some(attempt) = self.attempts.get_mut(&seq) else { return };
+        self.waiting.remove(&(Reverse(attempt.order.priority), seq));
+        self.cache.pin(&attempt.order.blocks[attempt.pinned..]);
+        attempt.pinned = attempt.order.blocks.len();
+        let name = attempt.order.attempt;
+        match attempt.order.work {
+            Work::Export => {
+                let tokens = attempt.order.prompt_tokens;
+                self.push_event(name, EngineEventKind::Exported { export: seq, tokens });
+            }
+            Work::Stream { .. } => {
+                let prefill = self.now.since(attempt.begun.unwrap_or(attempt.since));
+                let cached = attempt.cached;
+                self.decoding.insert(seq);
+                self.push_event(name, EngineEventKind::Started { cached, prefill });
+                // The step that reads the prompt's last token makes the answer's first.
+                self.make_token(seq);
+            }
+        }
+    }
+
+    fn make_token(&mut self, seq: u64) {
+        let Some(attempt) = self.attempts.get_mut(&seq) else { return };
+        let Work::Stream { answer_tokens, max_tokens, .. } = attempt.order.work else { return };
+        let name = attempt.order.attempt;
+        if attempt.made < answer_tokens {
+            if self.held >= self.config.memory {
+                self.over_memory += 1;
+                self.push_event(name, EngineEventKind::OutOfMemory);
+                self.release(seq);
+                return;
+            }
+            let offset = attempt.made;
+            attempt.made += 1;
+            attempt.held += 1;
+            self.hold(1);
+            if self.config.token_events {
+                self.push_event(name, EngineEventKind::Token { offset });
+            }
+        }
+        let Some(attempt) = self.attempts.get_mut(&seq) else { return };
+        if attempt.made >= answer_tokens {
+            let tokens = attempt.made;
+            let finish = if tokens >= max_tokens { Finish::Length } else { Finish::Stop };
+            let abandoned = attempt.abandoned;
+            self.decoding.remove(&seq);
+            self.push_event(name, EngineEventKind::Finished { tokens, finish });
+            if !abandoned {
+                self.release(seq);
+            }
+        }
+    }
+
+    fn release(&mut self, seq: u64) {
+        let Some(attempt) = self.attempts.remove(&seq) else { return };
+        self.by_name.remove(&attempt.order.attempt);
+        self.waiting.remove(&(Reverse(attempt.order.priority), seq));
+        self.decoding.remove(&seq);
+        self.cache.unpin(&attempt.order.blocks[..attempt.pinned]);
+        self.queued_tokens -= attempt.unread;
+        self.held -= attempt.held;
+        self.cache.shrink(self.config.memory - self.held);
+    }
+
+    fn hold(&mut self, tokens: u32) {
+        self.held += tokens;
+        self.peak_held = self.peak_held.max(self.held);
+        self.cache.shrink(self.config.memory.saturating_sub(self.held));
+    }
+
+    fn push_event(&mut self, attempt: AttemptId, kind: EngineEventKind) {
+        self.events.push(EngineEvent { at: self.now, attempt, kind });
+    }
+}
+
+/// Takes the cached start of an attempt's prompt into use; returns the tokens saved.
+fn use_cache(cache: &mut PrefixCache, attempt: &mut Attempt) -> u32 {
+    let hits = cache.hits(&attempt.order.blocks);
+    cache.pin(&attempt.order.blocks[..hits]);
+    attempt.pinned = hits;
+    let blocks = u32::try_from(hits).unwrap_or(u32::MAX);
+    // The last token is always read, for the answer's first token comes from it.
+    let cached = blocks.saturating_mul(BLOCK_TOKENS).min(attempt.unread.saturating_sub(1));
+    attempt.cached = cached;
+    attempt.unread -= cached;
+    cached
+}
--- /dev/null
+++ b/lib/testutils/src/exports.rs
@@ -0,0 +1,80 @@
+//! The segments of split prompts that engines hold for each other.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::server::lock;
+use crate::text::TextHash;
+
+/// A reference to a segment held by an engine, as requests name it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SegmentRef {
+    /// The engine that holds it.
+    pub engine: SocketAddr,
+    /// The number under which that engine holds it.
+    pub export: u64,
+    /// Its length in tokens.
+    pub tokens: u32,
+}
+
+/// A segment that is held.
+#[derive(Debug, Clone)]
+struct Segment {
+    tokens: u32,
+    /// All text up to the segment's end.
+    text: TextHash,
+    /// The segments before it.
+    before: Vec<SegmentRef>,
+}
+
+/// The segments held by all engines of a fleet; clones share them.
+///
+/// It takes the place of the engines' own transfers of KV cache.
+#[derive(Debug, Clone, Default)]
+pub struct Exports {
+    segments: Arc<Mutex<HashMap<(SocketAddr, u64), Segment>>>,
+}
+
+impl Exports {
+    /// Notes a segment that `engine` now holds.
+    pub(crate) fn hold(&self, segment: SegmentRef, text: TextHash, before: Vec<SegmentRef>) {
+        let tokens = segment.tokens;
+        let key = (segment.engine, segment.export);
+        lock(&self.segments).insert(key, Segment { tokens, text, before });
+    }
+
+    /// Forgets a segment.
+    pub(crate) fn drop_export(&self, engine: SocketAddr, export: u64) {
+        lock(&self.segments).remove(&(engine, export));
+    }
+
+    /// Forgets all segments of an engine that lost its memory.
+    pub(crate) fn drop_engine(&self, engine: SocketAddr) {
+        lock(&self.segments).retain(|key, _| key.0 != engine);
+    }
+
+    /// Returns the text that `segments` read, if all of them are held and follow one another.
+    pub(crate) fn import(&self, segments: &[SegmentRef]) -> Option<TextHash> {
+        let Some((last, before)) = segments.split_last() else { return Some(TextHash::default()) };
+        if !self.are_held(segments) {
+            return None;
+        }
+        let held = lock(&self.segments);
+        let segment = held.get(&(last.engine, last.export))?;
+        (segment.before == before).then(|| segment.text.clone())
+    }
+
+    /// Tells whether all of `segments` are held.
+    pub(crate) fn are_held(&self, segments: &[SegmentRef]) -> bool {
+        let held = lock(&self.segments);
+        segments.iter().all(|segment| {
+            let found = held.get(&(segment.engine, segment.export));
+            found.is_some_and(|found| found.tokens == segment.tokens)
+        })
+    }
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -1,1 +1,18 @@
-//! Stand-ins.
+//! Stand-ins for engines, plain services and the platform, for tests and the demo.
+//!
+//! Each speaks what `docs/platform.md` describes, over HTTP on loopback, and has switches for the
+//! faults that the system must survive. Many run in one process, on the caller's runtime.
+
+pub(crate) mod clock;
+pub mod engine;
+pub(crate) mod engine_core;
+pub(crate) mod engine_http;
+pub mod engine_model;
+pub mod engine_orders;
+pub mod exports;
+pub mod prefix_cache;
+pub mod records;
+pub mod relay;
+pub mod server;
+pub mod stream_faults;
+pub mod text;
--- /dev/null
+++ b/lib/testutils/src/relay.rs
@@ -0,0 +1,254 @@
+//! A TCP relay on loopback that a test puts between two processes, to cut, delay and heal the link.
+
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use crate::server::lock;
+
+/// The bytes that are read from a socket at once.
+const READ_BYTES: usize = 64 * 1_024;
+
+/// The reads that may be under way in one direction of a connection.
+const READS_UNDER_WAY: usize = 64;
+
+/// The state of a link.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Link {
+    /// Whether bytes from the connecting side are held back.
+    pub forth_cut: bool,
+    /// Whether bytes to the connecting side are held back.
+    pub back_cut: bool,
+    /// The time that each byte takes, one way.
+    pub delay: Duration,
+}
+
+/// A direction of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Direction {
+    Forth,
+    Back,
+}
+
+impl Link {
+    fn is_cut(&self, direction: Direction) -> bool {
+        match direction {
+            Direction::Forth => self.forth_cut,
+            Direction::Back => self.back_cut,
+        }
+    }
+}
+
+/// A relay from its own address to a target.
+#[derive(Debug)]
+pub struct Relay {
+    addr: SocketAddr,
+    target: SocketAddr,
+    link: watch::Sender<Link>,
+    connections: Arc<Mutex<Vec<AbortHandle>>>,
+    listening: Mutex<Option<AbortHandle>>,
+}
+
+impl Relay {
+    /// Listens on a free port of the loopback address and relays connections to `target`.
+    pub async fn start(target: SocketAddr) -> io::Result<Relay> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let relay = Relay {
+            addr: listener.local_addr()?,
+            target,
+            link: watch::Sender::new(Link::default()),
+            connections: Arc::default(),
+            listening: Mutex::default(),
+        };
+        relay.spawn_accept(listener);
+        Ok(relay)
+    }
+
+    /// Returns the address at which the relay listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Sets the state of the link, for open connections too.
+    ///
+    /// What was held back is delivered once the link is whole again, as after a lost route.
+    pub fn set_link(&self, link: Link) {
+        self.link.send_replace(link);
+    }
+
+    /// Returns the state of the link.
+    pub fn link(&self) -> Link {
+        *self.link.borrow()
+    }
+
+    /// Cuts the link both ways.
+    pub fn cut(&self) {
+        self.link.send_modify(|link| {
+            link.forth_cut = true;
+            link.back_cut = true;
+        });
+    }
+
+    /// Makes the link whole again and without delay.
+    pub fn heal(&self) {
+        self.set_link(Link::default());
+    }
+
+    /// Closes all open connections.
+    pub fn drop_connections(&self) {
+        for connection in lock(&self.connections).drain(..) {
+            connection.abort();
+        }
+    }
+
+    /// Closes all connections and refuses new ones until `listen` is called.
+    pub fn refuse(&self) {
+        if let Some(task) = lock(&self.listening).take() {
+            task.abort();
+        }
+        self.drop_connections();
+    }
+
+    /// Listens again on the same address.
+    pub async fn listen(&self) -> io::Result<()> {
+        if lock(&self.listening).is_some() {
+            return Ok(());
+        }
+        // The refused listener's socket closes when its task is dropped, which takes a moment.
+        let mut tries = 0;
+        let listener = loop {
+            match TcpListener::bind(self.addr).await {
+                Ok(listener) => break listener,
+                Err(error) if tries == BIND_TRIES => return Err(error),
+                Err(_) => tokio::time::sleep(BIND_PAUSE).await,
+            }
+            tries += 1;
+        };
+        self.spawn_accept(listener);
+        Ok(())
+    }
+
+    fn spawn_accept(&self, listener: TcpListener) {
+        let target = self.target;
+        let link = self.link.subscribe();
+        let connections = self.connections.clone();
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let task = tokio::spawn(relay(stream, target, link.clone()));
+                let mut open = lock(&connections);
+                open.retain(|connection| !connection.is_finished());
+                open.push(task.abort_handle());
+            }
+        });
+        *lock(&self.listening) = Some(task.abort_handle());
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.refuse();
+    }
+}
+
+/// How often a bind is tried again.
+const BIND_TRIES: u32 = 100;
+
+/// The time between two tries to bind.
+const BIND_PAUSE: Duration = Duration::from_millis(10);
+
+/// Relays one connection until either side closes it.
+async fn relay(
+    source: TcpStream,
+    target: SocketAddr,
+    mut link: watch::Receiver<Link>,
+) -> io::Result<()> {
+    // A cut link carries no connection either.
+    wait_open(&mut link, Direction::Forth).await?;
+    let target = TcpStream::connect(target).await?;
+    source.set_nodelay(true)?;
+    target.set_nodelay(true)?;
+    let (source_read, source_write) = source.into_split();
+    let (target_read, target_write) = target.into_split();
+    let forth = pump(source_read, target_write, link.clone(), Direction::Forth);
+    let back = pump(target_read, source_write, link, Direction::Back);
+    tokio::try_join!(forth, back)?;
+    Ok(())
+}
+
+/// Bytes under way, with when they are due.
+struct Parcel {
+    due: Instant,
+    bytes: Bytes,
+}
+
+/// Copies one direction of a connection, through its cuts and delays.
+async fn pump(
+    from: OwnedReadHalf,
+    to: OwnedWriteHalf,
+    link: watch::Receiver<Link>,
+    direction: Direction,
+) -> io::Result<()> {
+    let (sender, receiver) = mpsc::channel(READS_UNDER_WAY);
+    let reading = read_parcels(from, sender, link.clone());
+    let writing = write_parcels(to, receiver, link, direction);
+    tokio::try_join!(reading, writing)?;
+    Ok(())
+}
+
+async fn read_parcels(
+    mut from: OwnedReadHalf,
+    sender: mpsc::Sender<Parcel>,
+    link: watch::Receiver<Link>,
+) -> io::Result<()> {
+    let mut buffer = BytesMut::with_capacity(READ_BYTES);
+    loop {
+        buffer.reserve(READ_BYTES);
+        if from.read_buf(&mut buffer).await? == 0 {
+            return Ok(());
+        }
+        let due = Instant::now() + link.borrow().delay;
+        let parcel = Parcel { due, bytes: buffer.split().freeze() };
+        if sender.send(parcel).await.is_err() {
+            return Ok(());
+        }
+    }
+}
+
+async fn write_parcels(
+    mut to: OwnedWriteHalf,
+    mut receiver: mpsc::Receiver<Parcel>,
+    mut link: watch::Receiver<Link>,
+    direction: Direction,
+) -> io::Result<()> {
+    while let Some(parcel) = receiver.recv().await {
+        if parcel.due > Instant::now() {
+            tokio::time::sleep_until(parcel.due).await;
+        }
+        wait_open(&mut link, direction).await?;
+        to.write_all(&parcel.bytes).await?;
+    }
+    wait_open(&mut link, direction).await?;
+    to.shutdown().await
+}
+
+/// Waits until the link carries bytes in `direction`.
+async fn wait_open(link: &mut watch::Receiver<Link>, direction: Direction) -> io::Result<()> {
+    let open = link.wait_for(|link| !link.is_cut(direction)).await;
+    open.map(|_| ()).map_err(|_| io::ErrorKind::ConnectionAborted.into())
+}
