--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -1,5 +1,16 @@
 //! Protocol: wire types, their versions and limits, and their way into the core's types.
 
+pub(crate) mod place;
+pub(crate) mod rules_text;
 pub(crate) mod settings;
+pub(crate) mod spelling;
 
+pub use place::*;
+pub use rules_text::MAX_ERRORS;
+pub use rules_text::MAX_LINE_BYTES;
+pub use rules_text::MAX_RULES;
+pub use rules_text::MAX_TEXT_BYTES;
+pub use rules_text::RuleError;
+pub use rules_text::RuleFault;
+pub use rules_text::parse as parse_rules;
 pub use settings::*;
--- a/lib/src/protocol/settings.rs
+++ b/lib/src/protocol/settings.rs
@@ -20,7 +20,6 @@
 use serde_json::Value;
 
 pub use error::FieldFault;
-pub use error::Place;
 pub use error::SettingsError;
 pub use error::SettingsFault;
 pub use field::Field;
@@ -28,6 +27,7 @@
 pub use field::Preset;
 pub use fields::FIELDS;
 
+use super::place::Place;
 use crate::state::HostName;
 use crate::state::Tuning;
 use crate::state::ZoneName;
--- a/lib/src/protocol/settings/document.rs
+++ b/lib/src/protocol/settings/document.rs
@@ -9,10 +9,10 @@
 use serde_json::Value;
 
 use super::error::FieldFault;
-use super::error::Place;
 use super::error::SettingsFault;
 use super::field::Field;
 use super::fields::FIELDS;
+use crate::protocol::place::Place;
 
 /// Reads `text` into a JSON object that has every field with a default and only known ones.
 pub(crate) fn read_document(text: &str) -> Result<Map<String, Value>, SettingsFault> {
--- a/lib/src/protocol/settings/error.rs
+++ b/lib/src/protocol/settings/error.rs
@@ -6,15 +6,8 @@
 
 use super::field::Field;
 use super::fields::FIELDS;
-
-/// A place in a text; both numbers count from one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Place {
-    /// The line.
-    pub line: usize,
-    /// The column, in characters.
-    pub column: usize,
-}
+use crate::protocol::place::Place;
+use crate::protocol::spelling::nearest;
 
 /// Says that settings could not be read, in one line.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -63,7 +56,8 @@
 impl FieldFault {
     /// Says that a field is unknown, or stands twice.
     pub(crate) fn unexpected(name: &str, twice: bool) -> FieldFault {
-        let (found, expected) = match (twice, nearest_field(name)) {
+        let (found, expected) = match (twice, nearest(name, FIELDS.iter().map(|field| field.name)))
+        {
             (true, _) => ("the field a second time", "each field once".to_owned()),
             (false, Some(near)) => ("an unknown field", format!("perhaps `{near}`")),
             (false, None) => {
@@ -92,38 +86,16 @@
     }
 }
 
-/// Returns the known field whose name differs least from `name`, if it is close.
-fn nearest_field(name: &str) -> Option<&'static str> {
-    let nearest = FIELDS.iter().min_by_key(|field| edit_distance(field.name, name))?;
-    (edit_distance(nearest.name, name) <= 2).then_some(nearest.name)
-}
-
-/// Returns how many characters must be inserted, removed or replaced to turn `a` into `b`.
-fn edit_distance(a: &str, b: &str) -> usize {
-    let b: Vec<char> = b.chars().take(64).collect();
-    let mut row: Vec<usize> = (0..=b.len()).collect();
-    for (i, from) in a.chars().enumerate() {
-        let mut diagonal = row[0];
-        row[0] = i + 1;
-        for (j, to) in b.iter().enumerate() {
-            let replaced = diagonal + usize::from(from != *to);
-            diagonal = row[j + 1];
-            row[j + 1] = replaced.min(row[j] + 1).min(diagonal + 1);
-        }
-    }
-    row[b.len()]
-}
-
 impl fmt::Display for SettingsError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let file = &self.file;
         match &self.fault {
             SettingsFault::Unreadable { cause } => write!(f, "{file}: cannot be read: {cause}"),
             SettingsFault::Syntax { place, cause } => {
-                write!(f, "{file}:{}:{}: not a JSON object: {cause}", place.line, place.column)
+                write!(f, "{file}:{place}: not a JSON object: {cause}")
             }
             SettingsFault::Field { place: Some(place), fault } => {
-                write!(f, "{file}:{}:{}: {fault}", place.line, place.column)
+                write!(f, "{file}:{place}: {fault}")
             }
             SettingsFault::Field { place: None, fault } => write!(f, "{file}: {fault}"),
         }
--- a/lib/src/state/rules.rs
+++ b/lib/src/state/rules.rs
@@ -135,14 +135,38 @@
 
 impl ServiceRule {
     /// Tells whether a call may be repeated.
+    ///
+    /// A path that a service could read as another one, such as `/plans/../elections`, never may.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use wasabicrank_lib::state::{CallPattern, ServiceRule};
+    /// let plans = CallPattern { method: "GET".into(), path: "/plans".into() };
+    /// let deadline = Duration::from_secs(10);
+    /// let rule = ServiceRule { path: "/enrolment".into(), deadline, repeatable: vec![plans] };
+    /// assert!(rule.is_repeatable("GET", "/plans/7?year=2026"));
+    /// assert!(!rule.is_repeatable("POST", "/plans/7"));
+    /// assert!(!rule.is_repeatable("GET", "/plansheet"));
+    /// assert!(!rule.is_repeatable("GET", "/plans/../elections"));
+    /// ```
     pub fn is_repeatable(&self, method: &str, path: &str) -> bool {
-        self.repeatable.iter().any(|call| call.method == method && path.starts_with(&call.path))
+        let path = path.split_once('?').map_or(path, |(path, _)| path);
+        let matches =
+            |call: &CallPattern| call.method == method && path_below(path, &call.path).is_some();
+        is_literal(path) && self.repeatable.iter().any(matches)
     }
 }
 
+/// Tells whether `path` can only be read as it stands: no dot segments, empty segments,
+/// backslashes, fragments or escaped characters.
+fn is_literal(path: &str) -> bool {
+    let odd = ["/.", "//", "\\", "%", "#", ";"];
+    !odd.iter().any(|part| path.contains(part))
+}
+
 /// Returns what follows `start` in `path` if `path` is `start` or lies below it.
 fn path_below<'a>(path: &'a str, start: &str) -> Option<&'a str> {
     let rest = path.strip_prefix(start)?;
-    let whole = rest.is_empty() || rest.starts_with('/') || start.ends_with('/');
+    let whole = rest.is_empty() || rest.starts_with(['/', '?']) || start.ends_with('/');
     whole.then_some(rest)
 }
