--- a/lib/src/coordination/message.rs
+++ b/lib/src/coordination/message.rs
@@ -222,19 +222,23 @@
 pub enum LeaseMessage {
     /// Asks a voter for leases on `shards`; `round` pairs the reply with the ask.
     Ask { round: u64, list: u64, shards: Vec<u16> },
-    /// A voter's reply: the shards that it grants to the asker.
-    Grant { round: u64, list: u64, shards: Vec<u16> },
-    /// Gives up the sender's leases, so that another can have them at once.
-    Release { shards: Vec<u16> },
+    /// A voter's reply: the shards that it grants to the asker. `handed` are those among them whose
+    /// holder before the asker, as far as this voter granted, named the asker its successor.
+    Grant { round: u64, list: u64, shards: Vec<u16>, handed: Vec<u16> },
+    /// Gives up what the sender was granted in rounds up to `round`, so that another can have it at
+    /// once; with a successor, only that host before the grant would have lapsed.
+    Release { round: u64, shards: Vec<u16>, successor: Option<HostName> },
     /// Hands the claims of a shard over to a new holder during a planned stop.
     HandOver(Box<HandOver>),
     /// Confirms that the claims of a shard arrived.
-    HandOverDone { shard: u16 },
+    HandOverDone { round: u64, shard: u16 },
 }
 
 /// The claims of one shard on their way to a new holder.
 #[derive(Debug, Clone, PartialEq)]
 pub struct HandOver {
+    /// Pairs the confirmation with this message.
+    pub round: u64,
     /// The shard.
     pub shard: u16,
     /// Keys made before this wall time, in milliseconds, are unknown to the sender.
--- a/lib/src/state/outcome.rs
+++ b/lib/src/state/outcome.rs
@@ -63,6 +63,8 @@
     HomeUnavailable,
     /// The key is older than what its home can know.
     KeyTooOld,
+    /// The key was made later than this entry host's clock can allow.
+    KeyFromFuture,
     /// A copy of the call with this key is running.
     CopyRunning,
     /// The key was used before with another body.
@@ -97,6 +99,7 @@
             Reason::RetryBudget => "retry_budget",
             Reason::HomeUnavailable => "home_unavailable",
             Reason::KeyTooOld => "key_too_old",
+            Reason::KeyFromFuture => "key_from_future",
             Reason::CopyRunning => "copy_running",
             Reason::KeyReused => "key_reused",
             Reason::CallerGone => "caller_gone",
@@ -122,6 +125,7 @@
             Reason::RetryBudget => "The servers are failing too often to try again.",
             Reason::HomeUnavailable => "It cannot be known now whether this call has run.",
             Reason::KeyTooOld => "The call is too old to know whether it has run.",
+            Reason::KeyFromFuture => "The call's key was made in the future; check the clock.",
             Reason::CopyRunning => "A copy of this call is still running.",
             Reason::KeyReused => "The idempotency key was used for another call.",
             Reason::CallerGone => "The caller closed the connection.",
