peer links: authenticate and carry messages between entry hosts

Entry hosts need a way to talk that a wrong key, a replayed frame or a woken old process cannot disturb, and on which control never waits for work.

Messages get postcard wire types behind a version byte; texts and bodies stay borrowed until their sizes have passed. Frames carry sender, incarnation, a rising counter and a keyed BLAKE3 tag under a key derived from the receiver's nonce and name. Each peer gets two outgoing TCP connections with a bounded ring and a thread each. A shared counter over all connections was ruled out: a receiver that restarts could not check it.

--- /dev/null
+++ b/lib/src/protocol/peer_wire/attempt.rs
@@ -0,0 +1,299 @@
+//! The wire form of messages about attempts at engines.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::coordination::Ask;
+use crate::coordination::AttemptRef;
+use crate::coordination::Deny;
+use crate::coordination::Finished;
+use crate::coordination::FirstToken;
+use crate::coordination::Grant;
+use crate::state::AttemptId;
+use crate::state::CustomerName;
+use crate::state::EngineName;
+use crate::state::Incarnation;
+use crate::state::PrefixHash;
+use crate::state::Priority;
+use crate::state::RequestId;
+
+use super::WireError;
+use super::call::WireReason;
+use super::limits::List;
+use super::limits::MAX_BLOCKS;
+use super::limits::micros;
+use super::limits::name;
+
+/// A request's identifier; its origin is random, so that a fixed width is shorter.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct WireRequestId {
+    origin: [u8; 8],
+    seq: u64,
+}
+
+impl From<RequestId> for WireRequestId {
+    fn from(id: RequestId) -> Self {
+        WireRequestId { origin: id.origin.0.to_le_bytes(), seq: id.seq }
+    }
+}
+
+impl From<WireRequestId> for RequestId {
+    fn from(wire: WireRequestId) -> Self {
+        RequestId { origin: Incarnation(u64::from_le_bytes(wire.origin)), seq: wire.seq }
+    }
+}
+
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct WireAttemptId {
+    request: WireRequestId,
+    number: u32,
+}
+
+impl From<AttemptId> for WireAttemptId {
+    fn from(id: AttemptId) -> Self {
+        WireAttemptId { request: id.request.into(), number: id.number }
+    }
+}
+
+impl From<WireAttemptId> for AttemptId {
+    fn from(wire: WireAttemptId) -> Self {
+        AttemptId { request: wire.request.into(), number: wire.number }
+    }
+}
+
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+enum WirePriority {
+    Low,
+    Normal,
+    High,
+}
+
+impl From<Priority> for WirePriority {
+    fn from(priority: Priority) -> Self {
+        match priority {
+            Priority::Low => WirePriority::Low,
+            Priority::Normal => WirePriority::Normal,
+            Priority::High => WirePriority::High,
+        }
+    }
+}
+
+impl From<WirePriority> for Priority {
+    fn from(wire: WirePriority) -> Self {
+        match wire {
+            WirePriority::Low => Priority::Low,
+            WirePriority::Normal => Priority::Normal,
+            WirePriority::High => Priority::High,
+        }
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WireAsk<'a> {
+    attempt: WireAttemptId,
+    engine: &'a str,
+    customer: &'a str,
+    weight: u32,
+    priority: WirePriority,
+    prompt_tokens: u32,
+    output_tokens: u32,
+    blocks: List<[u8; 8], MAX_BLOCKS>,
+    waited_us: u64,
+    left_us: u64,
+    segment: bool,
+}
+
+impl<'a> From<&'a Ask> for WireAsk<'a> {
+    fn from(ask: &'a Ask) -> Self {
+        WireAsk {
+            attempt: ask.attempt.into(),
+            engine: ask.engine.as_str(),
+            customer: ask.customer.as_str(),
+            weight: ask.weight,
+            priority: ask.priority.into(),
+            prompt_tokens: ask.prompt_tokens,
+            output_tokens: ask.output_tokens,
+            blocks: ask.blocks.iter().map(|block| block.0.to_le_bytes()).collect(),
+            waited_us: micros(ask.waited),
+            left_us: micros(ask.left),
+            segment: ask.segment,
+        }
+    }
+}
+
+impl TryFrom<WireAsk<'_>> for Ask {
+    type Error = WireError;
+
+    fn try_from(wire: WireAsk<'_>) -> Result<Self, WireError> {
+        let blocks = wire.blocks.0.into_iter().map(u64::from_le_bytes).map(PrefixHash);
+        Ok(Ask {
+            attempt: wire.attempt.into(),
+            engine: EngineName::new(name(wire.engine)?),
+            customer: CustomerName::new(name(wire.customer)?),
+            weight: wire.weight,
+            priority: wire.priority.into(),
+            prompt_tokens: wire.prompt_tokens,
+            output_tokens: wire.output_tokens,
+            blocks: blocks.collect(),
+            waited: Duration::from_micros(wire.waited_us),
+            left: Duration::from_micros(wire.left_us),
+            segment: wire.segment,
+        })
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WireGrant<'a> {
+    attempt: WireAttemptId,
+    engine: &'a str,
+    valid_us: u64,
+    cached: u32,
+    queued_us: u64,
+}
+
+impl<'a> From<&'a Grant> for WireGrant<'a> {
+    fn from(grant: &'a Grant) -> Self {
+        WireGrant {
+            attempt: grant.attempt.into(),
+            engine: grant.engine.as_str(),
+            valid_us: micros(grant.valid),
+            cached: grant.cached,
+            queued_us: micros(grant.queued),
+        }
+    }
+}
+
+impl TryFrom<WireGrant<'_>> for Grant {
+    type Error = WireError;
+
+    fn try_from(wire: WireGrant<'_>) -> Result<Self, WireError> {
+        Ok(Grant {
+            attempt: wire.attempt.into(),
+            engine: EngineName::new(name(wire.engine)?),
+            valid: Duration::from_micros(wire.valid_us),
+            cached: wire.cached,
+            queued: Duration::from_micros(wire.queued_us),
+        })
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WireDeny<'a> {
+    attempt: WireAttemptId,
+    engine: &'a str,
+    reason: WireReason,
+    room_in_us: Option<u64>,
+}
+
+impl<'a> From<&'a Deny> for WireDeny<'a> {
+    fn from(deny: &'a Deny) -> Self {
+        WireDeny {
+            attempt: deny.attempt.into(),
+            engine: deny.engine.as_str(),
+            reason: deny.reason.into(),
+            room_in_us: deny.room_in.map(micros),
+        }
+    }
+}
+
+impl TryFrom<WireDeny<'_>> for Deny {
+    type Error = WireError;
+
+    fn try_from(wire: WireDeny<'_>) -> Result<Self, WireError> {
+        Ok(Deny {
+            attempt: wire.attempt.into(),
+            engine: EngineName::new(name(wire.engine)?),
+            reason: wire.reason.into(),
+            room_in: wire.room_in_us.map(Duration::from_micros),
+        })
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WireAttemptRef<'a> {
+    attempt: WireAttemptId,
+    engine: &'a str,
+}
+
+impl<'a> From<&'a AttemptRef> for WireAttemptRef<'a> {
+    fn from(reference: &'a AttemptRef) -> Self {
+        WireAttemptRef { attempt: reference.attempt.into(), engine: reference.engine.as_str() }
+    }
+}
+
+impl TryFrom<WireAttemptRef<'_>> for AttemptRef {
+    type Error = WireError;
+
+    fn try_from(wire: WireAttemptRef<'_>) -> Result<Self, WireError> {
+        Ok(AttemptRef { attempt: wire.attempt.into(), engine: EngineName::new(name(wire.engine)?) })
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WireFirstToken<'a> {
+    attempt: WireAttemptId,
+    engine: &'a str,
+    cached: u32,
+    prefill_us: u64,
+}
+
+impl<'a> From<&'a FirstToken> for WireFirstToken<'a> {
+    fn from(first: &'a FirstToken) -> Self {
+        WireFirstToken {
+            attempt: first.attempt.into(),
+            engine: first.engine.as_str(),
+            cached: first.cached,
+            prefill_us: micros(first.prefill),
+        }
+    }
+}
+
+impl TryFrom<WireFirstToken<'_>> for FirstToken {
+    type Error = WireError;
+
+    fn try_from(wire: WireFirstToken<'_>) -> Result<Self, WireError> {
+        Ok(FirstToken {
+            attempt: wire.attempt.into(),
+            engine: EngineName::new(name(wire.engine)?),
+            cached: wire.cached,
+            prefill: Duration::from_micros(wire.prefill_us),
+        })
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WireFinished<'a> {
+    attempt: WireAttemptId,
+    engine: &'a str,
+    output_tokens: u32,
+    decode_us: u64,
+    failed: bool,
+}
+
+impl<'a> From<&'a Finished> for WireFinished<'a> {
+    fn from(finished: &'a Finished) -> Self {
+        WireFinished {
+            attempt: finished.attempt.into(),
+            engine: finished.engine.as_str(),
+            output_tokens: finished.output_tokens,
+            decode_us: micros(finished.decode),
+            failed: finished.failed,
+        }
+    }
+}
+
+impl TryFrom<WireFinished<'_>> for Finished {
+    type Error = WireError;
+
+    fn try_from(wire: WireFinished<'_>) -> Result<Self, WireError> {
+        Ok(Finished {
+            attempt: wire.attempt.into(),
+            engine: EngineName::new(name(wire.engine)?),
+            output_tokens: wire.output_tokens,
+            decode: Duration::from_micros(wire.decode_us),
+            failed: wire.failed,
+        })
+    }
+}
--- /dev/null
+++ b/lib/src/protocol/peer_wire/heartbeat.rs
@@ -0,0 +1,207 @@
+//! The wire form of heartbeats and of what was seen of targets.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::coordination::CustomerUse;
+use crate::coordination::EngineLoad;
+use crate::coordination::Heartbeat;
+use crate::coordination::TargetSeen;
+use crate::state::CustomerName;
+use crate::state::EngineName;
+use crate::state::ModelName;
+use crate::state::TargetState;
+
+use super::WireError;
+use super::limits::List;
+use super::limits::MAX_MODELS;
+use super::limits::MAX_REPORTED;
+use super::limits::MAX_SHARDS;
+use super::limits::convert;
+use super::limits::name;
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WireHeartbeat<'a> {
+    beat: u64,
+    clock: u64,
+    config: u64,
+    config_hash: u64,
+    list: u64,
+    stopping: bool,
+    #[serde(borrow)]
+    engines: List<WireLoad<'a>, MAX_REPORTED>,
+    usage: List<WireUse<'a>, MAX_REPORTED>,
+    targets: List<WireTarget<'a>, MAX_REPORTED>,
+    shards: List<u16, MAX_SHARDS>,
+}
+
+impl<'a> From<&'a Heartbeat> for WireHeartbeat<'a> {
+    fn from(beat: &'a Heartbeat) -> Self {
+        WireHeartbeat {
+            beat: beat.beat,
+            clock: beat.clock,
+            config: beat.config,
+            config_hash: beat.config_hash,
+            list: beat.list,
+            stopping: beat.stopping,
+            engines: beat.engines.iter().map(WireLoad::from).collect(),
+            usage: beat.usage.iter().map(WireUse::from).collect(),
+            targets: beat.targets.iter().map(WireTarget::from).collect(),
+            shards: beat.shards.iter().copied().collect(),
+        }
+    }
+}
+
+impl TryFrom<WireHeartbeat<'_>> for Heartbeat {
+    type Error = WireError;
+
+    fn try_from(wire: WireHeartbeat<'_>) -> Result<Self, WireError> {
+        Ok(Heartbeat {
+            beat: wire.beat,
+            clock: wire.clock,
+            config: wire.config,
+            config_hash: wire.config_hash,
+            list: wire.list,
+            stopping: wire.stopping,
+            engines: convert(wire.engines)?,
+            usage: convert(wire.usage)?,
+            targets: convert(wire.targets)?,
+            shards: wire.shards.0,
+        })
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireLoad<'a> {
+    engine: &'a str,
+    short_tokens: u32,
+    long_tokens: u32,
+    requests: u32,
+    held: u32,
+    memory: u32,
+    prefill_rate: u32,
+    decode_rate: u32,
+    healthy: bool,
+    #[serde(borrow)]
+    models: List<&'a str, MAX_MODELS>,
+}
+
+impl<'a> From<&'a EngineLoad> for WireLoad<'a> {
+    fn from(load: &'a EngineLoad) -> Self {
+        WireLoad {
+            engine: load.engine.as_str(),
+            short_tokens: load.short_tokens,
+            long_tokens: load.long_tokens,
+            requests: load.requests,
+            held: load.held,
+            memory: load.memory,
+            prefill_rate: load.prefill_rate,
+            decode_rate: load.decode_rate,
+            healthy: load.healthy,
+            models: load.models.iter().map(ModelName::as_str).collect(),
+        }
+    }
+}
+
+impl TryFrom<WireLoad<'_>> for EngineLoad {
+    type Error = WireError;
+
+    fn try_from(wire: WireLoad<'_>) -> Result<Self, WireError> {
+        let models: Result<Vec<_>, _> =
+            wire.models.0.into_iter().map(|model| name(model).map(ModelName::new)).collect();
+        Ok(EngineLoad {
+            engine: EngineName::new(name(wire.engine)?),
+            short_tokens: wire.short_tokens,
+            long_tokens: wire.long_tokens,
+            requests: wire.requests,
+            held: wire.held,
+            memory: wire.memory,
+            prefill_rate: wire.prefill_rate,
+            decode_rate: wire.decode_rate,
+            healthy: wire.healthy,
+            models: models?,
+        })
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireUse<'a> {
+    customer: &'a str,
+    demand: u32,
+    in_flight: u32,
+}
+
+impl<'a> From<&'a CustomerUse> for WireUse<'a> {
+    fn from(usage: &'a CustomerUse) -> Self {
+        WireUse {
+            customer: usage.customer.as_str(),
+            demand: usage.demand,
+            in_flight: usage.in_flight,
+        }
+    }
+}
+
+impl TryFrom<WireUse<'_>> for CustomerUse {
+    type Error = WireError;
+
+    fn try_from(wire: WireUse<'_>) -> Result<Self, WireError> {
+        Ok(CustomerUse {
+            customer: CustomerName::new(name(wire.customer)?),
+            demand: wire.demand,
+            in_flight: wire.in_flight,
+        })
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WireTarget<'a> {
+    target: &'a str,
+    state: Option<WireTargetState>,
+    sighting: u64,
+}
+
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+enum WireTargetState {
+    Live,
+    Leaving,
+}
+
+impl From<TargetState> for WireTargetState {
+    fn from(state: TargetState) -> Self {
+        match state {
+            TargetState::Live => WireTargetState::Live,
+            TargetState::Leaving => WireTargetState::Leaving,
+        }
+    }
+}
+
+impl From<WireTargetState> for TargetState {
+    fn from(wire: WireTargetState) -> Self {
+        match wire {
+            WireTargetState::Live => TargetState::Live,
+            WireTargetState::Leaving => TargetState::Leaving,
+        }
+    }
+}
+
+impl<'a> From<&'a TargetSeen> for WireTarget<'a> {
+    fn from(seen: &'a TargetSeen) -> Self {
+        WireTarget {
+            target: &seen.target,
+            state: seen.state.map(WireTargetState::from),
+            sighting: seen.sighting,
+        }
+    }
+}
+
+impl TryFrom<WireTarget<'_>> for TargetSeen {
+    type Error = WireError;
+
+    fn try_from(wire: WireTarget<'_>) -> Result<Self, WireError> {
+        Ok(TargetSeen {
+            target: name(wire.target)?.to_owned(),
+            state: wire.state.map(TargetState::from),
+            sighting: wire.sighting,
+        })
+    }
+}
--- /dev/null
+++ b/lib/src/protocol/peer_wire/lease.rs
@@ -0,0 +1,190 @@
+//! The wire form of messages about leases on shards of idempotency keys.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::coordination::ClaimRecord;
+use crate::coordination::ClaimState;
+use crate::coordination::HandOver;
+use crate::coordination::LeaseMessage;
+
+use super::WireError;
+use super::call::WireKey;
+use super::call::WireReason;
+use super::call::WireReply;
+use super::limits::List;
+use super::limits::MAX_CLAIMS;
+use super::limits::MAX_SHARDS;
+use super::limits::convert;
+
+type Shards = List<u16, MAX_SHARDS>;
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum WireLease<'a> {
+    Ask {
+        round: u64,
+        list: u64,
+        shards: Shards,
+    },
+    Grant {
+        round: u64,
+        list: u64,
+        shards: Shards,
+    },
+    Release {
+        shards: Shards,
+    },
+    #[serde(borrow)]
+    HandOver(WireHandOver<'a>),
+    HandOverDone {
+        shard: u16,
+    },
+}
+
+impl WireLease<'_> {
+    /// Returns the length of the longest body that the message brings, in bytes.
+    pub(crate) fn largest_body(&self) -> usize {
+        match self {
+            WireLease::HandOver(hand_over) => hand_over.largest_body(),
+            _ => 0,
+        }
+    }
+}
+
+impl<'a> From<&'a LeaseMessage> for WireLease<'a> {
+    fn from(message: &'a LeaseMessage) -> Self {
+        match message {
+            LeaseMessage::Ask { round, list, shards } => {
+                WireLease::Ask { round: *round, list: *list, shards: List(shards.clone()) }
+            }
+            LeaseMessage::Grant { round, list, shards } => {
+                WireLease::Grant { round: *round, list: *list, shards: List(shards.clone()) }
+            }
+            LeaseMessage::Release { shards } => WireLease::Release { shards: List(shards.clone()) },
+            LeaseMessage::HandOver(hand_over) => WireLease::HandOver(hand_over.as_ref().into()),
+            LeaseMessage::HandOverDone { shard } => WireLease::HandOverDone { shard: *shard },
+        }
+    }
+}
+
+impl TryFrom<WireLease<'_>> for LeaseMessage {
+    type Error = WireError;
+
+    fn try_from(wire: WireLease<'_>) -> Result<Self, WireError> {
+        Ok(match wire {
+            WireLease::Ask { round, list, shards } => {
+                LeaseMessage::Ask { round, list, shards: shards.0 }
+            }
+            WireLease::Grant { round, list, shards } => {
+                LeaseMessage::Grant { round, list, shards: shards.0 }
+            }
+            WireLease::Release { shards } => LeaseMessage::Release { shards: shards.0 },
+            WireLease::HandOver(hand_over) => {
+                LeaseMessage::HandOver(Box::new(hand_over.try_into()?))
+            }
+            WireLease::HandOverDone { shard } => LeaseMessage::HandOverDone { shard },
+        })
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WireHandOver<'a> {
+    shard: u16,
+    known_since: u64,
+    #[serde(borrow)]
+    claims: List<WireClaim<'a>, MAX_CLAIMS>,
+}
+
+impl WireHandOver<'_> {
+    fn largest_body(&self) -> usize {
+        self.claims.0.iter().map(WireClaim::body_len).max().unwrap_or(0)
+    }
+}
+
+impl<'a> From<&'a HandOver> for WireHandOver<'a> {
+    fn from(hand_over: &'a HandOver) -> Self {
+        WireHandOver {
+            shard: hand_over.shard,
+            known_since: hand_over.known_since,
+            claims: hand_over.claims.iter().map(WireClaim::from).collect(),
+        }
+    }
+}
+
+impl TryFrom<WireHandOver<'_>> for HandOver {
+    type Error = WireError;
+
+    fn try_from(wire: WireHandOver<'_>) -> Result<Self, WireError> {
+        let claims = convert(wire.claims)?;
+        Ok(HandOver { shard: wire.shard, known_since: wire.known_since, claims })
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireClaim<'a> {
+    key: WireKey,
+    call_hash: u64,
+    #[serde(borrow)]
+    state: WireClaimState<'a>,
+}
+
+impl WireClaim<'_> {
+    fn body_len(&self) -> usize {
+        match &self.state {
+            WireClaimState::Done(reply) => reply.body_len(),
+            _ => 0,
+        }
+    }
+}
+
+impl<'a> From<&'a ClaimRecord> for WireClaim<'a> {
+    fn from(claim: &'a ClaimRecord) -> Self {
+        WireClaim {
+            key: claim.key.into(),
+            call_hash: claim.call_hash,
+            state: (&claim.state).into(),
+        }
+    }
+}
+
+impl TryFrom<WireClaim<'_>> for ClaimRecord {
+    type Error = WireError;
+
+    fn try_from(wire: WireClaim<'_>) -> Result<Self, WireError> {
+        let state = wire.state.try_into()?;
+        Ok(ClaimRecord { key: wire.key.into(), call_hash: wire.call_hash, state })
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+enum WireClaimState<'a> {
+    Running,
+    #[serde(borrow)]
+    Done(WireReply<'a>),
+    Refused(WireReason),
+    Unknown,
+}
+
+impl<'a> From<&'a ClaimState> for WireClaimState<'a> {
+    fn from(state: &'a ClaimState) -> Self {
+        match state {
+            ClaimState::Running => WireClaimState::Running,
+            ClaimState::Done(reply) => WireClaimState::Done(reply.into()),
+            ClaimState::Refused(reason) => WireClaimState::Refused((*reason).into()),
+            ClaimState::Unknown => WireClaimState::Unknown,
+        }
+    }
+}
+
+impl TryFrom<WireClaimState<'_>> for ClaimState {
+    type Error = WireError;
+
+    fn try_from(wire: WireClaimState<'_>) -> Result<Self, WireError> {
+        Ok(match wire {
+            WireClaimState::Running => ClaimState::Running,
+            WireClaimState::Done(reply) => ClaimState::Done(reply.try_into()?),
+            WireClaimState::Refused(reason) => ClaimState::Refused(reason.into()),
+            WireClaimState::Unknown => ClaimState::Unknown,
+        })
+    }
+}
--- /dev/null
+++ b/lib/src/transport/peer_links/counters.rs
@@ -0,0 +1,216 @@
+//! Counts of what went over the links and of what was dropped, by cause.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use crate::protocol::FrameError;
+use crate::protocol::LinkKind;
+use crate::protocol::WireError;
+
+use super::SendRefused;
+
+/// Why something was dropped on its way to or from a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum DropCause {
+    /// A frame's tag was wrong.
+    BadTag,
+    /// A frame's number did not rise.
+    Replayed,
+    /// A frame came from an earlier start of its host.
+    OldIncarnation,
+    /// A frame's sender is not a published entry host, or not the connection's.
+    UnknownSender,
+    /// A frame, text or body was longer than its limit.
+    Oversize,
+    /// A frame or message was in an unknown version.
+    UnknownVersion,
+    /// A frame or message did not follow its format.
+    Malformed,
+    /// A peer did not say hello in time.
+    HelloTimeout,
+    /// Too many connections waited for their hello.
+    TooManyPending,
+    /// A message was refused because its ring was full.
+    RingFull,
+    /// A message was refused because its link was down.
+    NotConnected,
+    /// A message was taken and then lost with its connection.
+    ConnectionLost,
+    /// A message was refused because its host is not a peer.
+    UnknownPeer,
+}
+
+impl DropCause {
+    /// All causes.
+    pub const ALL: [DropCause; 13] = [
+        DropCause::BadTag,
+        DropCause::Replayed,
+        DropCause::OldIncarnation,
+        DropCause::UnknownSender,
+        DropCause::Oversize,
+        DropCause::UnknownVersion,
+        DropCause::Malformed,
+        DropCause::HelloTimeout,
+        DropCause::TooManyPending,
+        DropCause::RingFull,
+        DropCause::NotConnected,
+        DropCause::ConnectionLost,
+        DropCause::UnknownPeer,
+    ];
+
+    /// Returns the label that metrics and JSON use.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            DropCause::BadTag => "bad_tag",
+            DropCause::Replayed => "replayed",
+            DropCause::OldIncarnation => "old_incarnation",
+            DropCause::UnknownSender => "unknown_sender",
+            DropCause::Oversize => "oversize",
+            DropCause::UnknownVersion => "unknown_version",
+            DropCause::Malformed => "malformed",
+            DropCause::HelloTimeout => "hello_timeout",
+            DropCause::TooManyPending => "too_many_pending",
+            DropCause::RingFull => "ring_full",
+            DropCause::NotConnected => "not_connected",
+            DropCause::ConnectionLost => "connection_lost",
+            DropCause::UnknownPeer => "unknown_peer",
+        }
+    }
+}
+
+impl From<FrameError> for DropCause {
+    fn from(error: FrameError) -> Self {
+        match error {
+            FrameError::Oversize { .. } => DropCause::Oversize,
+            FrameError::UnknownVersion(_) => DropCause::UnknownVersion,
+            FrameError::Malformed => DropCause::Malformed,
+            FrameError::BadTag => DropCause::BadTag,
+            FrameError::Replayed { .. } => DropCause::Replayed,
+            FrameError::WrongSender | FrameError::UnknownSender => DropCause::UnknownSender,
+            FrameError::OldIncarnation => DropCause::OldIncarnation,
+        }
+    }
+}
+
+impl From<WireError> for DropCause {
+    fn from(error: WireError) -> Self {
+        match error {
+            WireError::UnknownVersion(_) => DropCause::UnknownVersion,
+            WireError::TextTooLong { .. } | WireError::BodyTooLong { .. } => DropCause::Oversize,
+            WireError::Empty
+            | WireError::Malformed
+            | WireError::Trailing(_)
+            | WireError::EmptyName => DropCause::Malformed,
+        }
+    }
+}
+
+impl From<SendRefused> for DropCause {
+    fn from(refused: SendRefused) -> Self {
+        match refused {
+            SendRefused::UnknownPeer => DropCause::UnknownPeer,
+            SendRefused::NotConnected => DropCause::NotConnected,
+            SendRefused::RingFull => DropCause::RingFull,
+            SendRefused::TooLong => DropCause::Oversize,
+        }
+    }
+}
+
+/// What went over the links of one kind since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LinkCounters {
+    /// Messages received.
+    pub messages_in: u64,
+    /// Messages sent.
+    pub messages_out: u64,
+    /// Bytes received, with frames.
+    pub bytes_in: u64,
+    /// Bytes sent, with frames.
+    pub bytes_out: u64,
+}
+
+/// How often something was dropped for one cause.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DropCount {
+    /// Why.
+    pub cause: DropCause,
+    /// How often since the start.
+    pub count: u64,
+}
+
+/// What went over the links since the start.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PeerCounters {
+    /// Over the links for control.
+    pub control: LinkCounters,
+    /// Over the links for work.
+    pub work: LinkCounters,
+    /// What was dropped, one entry for each cause.
+    pub drops: Vec<DropCount>,
+}
+
+impl PeerCounters {
+    /// Returns how often something was dropped for `cause`.
+    pub fn dropped(&self, cause: DropCause) -> u64 {
+        self.drops.iter().find(|drop| drop.cause == cause).map_or(0, |drop| drop.count)
+    }
+}
+
+/// The counters that the links' threads share.
+#[derive(Default)]
+pub(super) struct Tally {
+    control: LinkTally,
+    work: LinkTally,
+    drops: [AtomicU64; DropCause::ALL.len()],
+}
+
+#[derive(Default)]
+struct LinkTally {
+    messages_in: AtomicU64,
+    messages_out: AtomicU64,
+    bytes_in: AtomicU64,
+    bytes_out: AtomicU64,
+}
+
+impl Tally {
+    /// Counts one drop and returns how many there were for this cause.
+    pub(super) fn drop(&self, cause: DropCause) -> u64 {
+        self.drops[cause as usize].fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    pub(super) fn received(&self, kind: LinkKind, bytes: usize) {
+        let link = self.link(kind);
+        link.messages_in.fetch_add(1, Ordering::Relaxed);
+        link.bytes_in.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    pub(super) fn sent(&self, kind: LinkKind, messages: usize, bytes: usize) {
+        let link = self.link(kind);
+        link.messages_out.fetch_add(messages as u64, Ordering::Relaxed);
+        link.bytes_out.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    pub(super) fn read(&self) -> PeerCounters {
+        let count = |cause: DropCause| self.drops[cause as usize].load(Ordering::Relaxed);
+        let drops = DropCause::ALL.map(|cause| DropCount { cause, count: count(cause) });
+        PeerCounters { control: self.control.read(), work: self.work.read(), drops: drops.into() }
+    }
+
+    fn link(&self, kind: LinkKind) -> &LinkTally {
+        match kind {
+            LinkKind::Control => &self.control,
+            LinkKind::Work => &self.work,
+        }
+    }
+}
+
+impl LinkTally {
+    fn read(&self) -> LinkCounters {
+        LinkCounters {
+            messages_in: self.messages_in.load(Ordering::Relaxed),
+            messages_out: self.messages_out.load(Ordering::Relaxed),
+            bytes_in: self.bytes_in.load(Ordering::Relaxed),
+            bytes_out: self.bytes_out.load(Ordering::Relaxed),
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/transport/peer_links/mod.rs
@@ -0,0 +1,315 @@
+//! TCP links between entry hosts, with a thread for each duty and bounded rings between them.
+//!
+//! Each entry host opens two connections to every peer, one for control and one for work, so that
+//! heartbeats and leases never wait behind forwarded calls. Frames flow from the opener only.
+//! Sending never blocks: a message is refused at once when its link is down or its ring is full.
+//! A message that was taken may still be lost with its connection; answers are the sender's only
+//! proof of arrival.
+
+mod counters;
+mod inbound;
+mod outbound;
+mod stream;
+
+pub use counters::*;
+
+use std::collections::HashMap;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::thread::JoinHandle;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use slog::Logger;
+use slog::info;
+
+use crate::coordination::Envelope;
+use crate::coordination::PeerMessage;
+use crate::protocol::FleetKey;
+use crate::protocol::LinkKind;
+use crate::protocol::Sender;
+use crate::protocol::SenderTable;
+use crate::protocol::encode_message;
+use crate::state::HostName;
+use crate::state::Incarnation;
+use crate::state::Moment;
+use crate::state::WallTime;
+
+use counters::Tally;
+use inbound::Acceptor;
+use outbound::Outbound;
+
+/// The most bytes that a frame has beside its payload.
+const FRAME_OVERHEAD: usize = 512;
+
+/// What the links need to know of this entry host.
+#[derive(Debug, Clone)]
+pub struct PeerLinksSettings {
+    /// Where peers connect to.
+    pub listen: SocketAddr,
+    /// This entry host's published name.
+    pub host: HostName,
+    /// This process's incarnation.
+    pub incarnation: Incarnation,
+    /// The key that all entry hosts share.
+    pub key: [u8; 32],
+    /// The longest frame that is sent or received, in bytes.
+    pub max_frame: usize,
+    /// How many messages wait on each link at most.
+    pub ring: usize,
+}
+
+/// A peer and where it listens.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerAddress {
+    /// The peer's published name.
+    pub host: HostName,
+    /// Where it listens for its peers.
+    pub addr: SocketAddr,
+}
+
+/// Why a message was not taken; it was not and will not be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendRefused {
+    /// The host is not among the peers.
+    UnknownPeer,
+    /// There is no connection to the peer now.
+    NotConnected,
+    /// Too many messages or bytes wait on the link already.
+    RingFull,
+    /// The message is longer than a frame may be.
+    TooLong,
+}
+
+impl fmt::Display for SendRefused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            SendRefused::UnknownPeer => "the host is not a peer",
+            SendRefused::NotConnected => "there is no connection to the peer",
+            SendRefused::RingFull => "the link's ring is full",
+            SendRefused::TooLong => "the message is longer than a frame may be",
+        })
+    }
+}
+
+impl std::error::Error for SendRefused {}
+
+/// What all threads of the links share.
+struct Shared {
+    key: FleetKey,
+    sender: Sender,
+    max_frame: usize,
+    ring: usize,
+    started: Instant,
+    senders: Mutex<SenderTable>,
+    tally: Tally,
+    log: Logger,
+}
+
+impl Shared {
+    fn now(&self) -> Moment {
+        let micros = self.started.elapsed().as_micros();
+        Moment(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+}
+
+/// The links of one entry host to its peers.
+///
+/// ```
+/// use wasabicrank_lib::state::{HostName, Incarnation};
+/// use wasabicrank_lib::transport::{PeerLinks, PeerLinksSettings};
+/// let settings = PeerLinksSettings {
+///     listen: "127.0.0.1:0".parse().unwrap(),
+///     host: HostName::new("entry-1"),
+///     incarnation: Incarnation(1),
+///     key: [7; 32],
+///     max_frame: 1 << 20,
+///     ring: 256,
+/// };
+/// let log = slog::Logger::root(slog::Discard, slog::o!());
+/// let links = PeerLinks::start(settings, |envelope| println!("{envelope:?}"), log).unwrap();
+/// assert_ne!(links.local_addr().port(), 0);
+/// links.stop();
+/// ```
+pub struct PeerLinks {
+    shared: Arc<Shared>,
+    acceptor: Acceptor,
+    local: SocketAddr,
+    peers: RwLock<HashMap<HostName, Peer>>,
+    retired: Mutex<Vec<JoinHandle<()>>>,
+}
+
+struct Peer {
+    addr: SocketAddr,
+    control: Outbound,
+    work: Outbound,
+}
+
+impl PeerLinks {
+    /// Listens for peers and hands every message that proves its sender to `inbox`.
+    ///
+    /// `inbox` is called from one thread for each connection and should not block: while it does,
+    /// that connection is not read.
+    pub fn start(
+        settings: PeerLinksSettings,
+        inbox: impl Fn(Envelope) + Send + Clone + 'static,
+        log: Logger,
+    ) -> io::Result<PeerLinks> {
+        let (host, incarnation) = (settings.host, settings.incarnation);
+        let shared = Arc::new(Shared {
+            key: FleetKey::new(settings.key),
+            sender: Sender { host, incarnation, started: wall_time() },
+            max_frame: settings.max_frame,
+            ring: settings.ring,
+            started: Instant::now(),
+            senders: Mutex::new(SenderTable::default()),
+            tally: Tally::default(),
+            log,
+        });
+        let (acceptor, local) = Acceptor::start(settings.listen, shared.clone(), inbox)?;
+        info!(shared.log, "listening for peers"; "addr" => %local);
+        let (peers, retired) = (RwLock::default(), Mutex::default());
+        Ok(PeerLinks { shared, acceptor, local, peers, retired })
+    }
+
+    /// Returns the address that peers connect to.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.local
+    }
+
+    /// Takes `published` as the peers: connects to new ones and closes links to others.
+    ///
+    /// This host itself may be among them and is left out.
+    pub fn set_peers(&self, published: &[PeerAddress]) -> io::Result<()> {
+        let own = &self.shared.sender.host;
+        let published: Vec<_> = published.iter().filter(|peer| peer.host != *own).collect();
+        let known = published.iter().map(|peer| peer.host.clone());
+        lock(&self.shared.senders).set_known(known);
+        let mut peers = self.peers.write().unwrap_or_else(PoisonError::into_inner);
+        let mut old = std::mem::take(&mut *peers);
+        let mut result = Ok(());
+        for published in published {
+            let kept = old.remove(&published.host);
+            match self.keep_or_open(kept, published) {
+                Ok(peer) => drop(peers.insert(published.host.clone(), peer)),
+                Err(error) => result = Err(error),
+            }
+        }
+        drop(peers);
+        old.into_values().for_each(|peer| self.retire(peer));
+        result
+    }
+
+    /// Sends `message` to `host` without blocking, or refuses it.
+    pub fn send(&self, host: &HostName, message: &PeerMessage) -> Result<(), SendRefused> {
+        let result = self.try_send(host, message);
+        if let Err(refused) = result {
+            self.shared.tally.drop(refused.into());
+        }
+        result
+    }
+
+    /// Tells whether both links to `host` are up.
+    pub fn is_connected(&self, host: &HostName) -> bool {
+        let peers = self.peers.read().unwrap_or_else(PoisonError::into_inner);
+        peers.get(host).is_some_and(|peer| peer.control.is_up() && peer.work.is_up())
+    }
+
+    /// Returns what went over the links and what was dropped since the start.
+    pub fn counters(&self) -> PeerCounters {
+        self.shared.tally.read()
+    }
+
+    /// Sends what waits on the links, closes them and ends their threads.
+    pub fn stop(self) {
+        let peers = self.peers.into_inner().unwrap_or_else(PoisonError::into_inner);
+        let mut threads = self.retired.into_inner().unwrap_or_else(PoisonError::into_inner);
+        for peer in peers.into_values() {
+            threads.push(peer.control.close());
+            threads.push(peer.work.close());
+        }
+        for thread in threads {
+            // A panic in a link's thread is a broken invariant that was reported by then.
+            let _ = thread.join();
+        }
+        self.acceptor.stop();
+    }
+
+    fn try_send(&self, host: &HostName, message: &PeerMessage) -> Result<(), SendRefused> {
+        let peers = self.peers.read().unwrap_or_else(PoisonError::into_inner);
+        let peer = peers.get(host).ok_or(SendRefused::UnknownPeer)?;
+        let link = match link_kind(message) {
+            LinkKind::Control => &peer.control,
+            LinkKind::Work => &peer.work,
+        };
+        if !link.is_up() {
+            return Err(SendRefused::NotConnected);
+        }
+        link.send(encode_message(message).map_err(|_| SendRefused::TooLong)?)
+    }
+
+    fn keep_or_open(&self, kept: Option<Peer>, published: &PeerAddress) -> io::Result<Peer> {
+        if let Some(peer) = kept {
+            if peer.addr == published.addr {
+                return Ok(peer);
+            }
+            self.retire(peer);
+        }
+        let open = |kind| Outbound::open(self.shared.clone(), published.clone(), kind);
+        let control = open(LinkKind::Control)?;
+        let work = open(LinkKind::Work)?;
+        Ok(Peer { addr: published.addr, control, work })
+    }
+
+    /// Closes the links to a former peer and leaves their threads to end by themselves.
+    fn retire(&self, peer: Peer) {
+        let mut retired = lock(&self.retired);
+        retired.retain(|thread| !thread.is_finished());
+        retired.push(peer.control.close());
+        retired.push(peer.work.close());
+    }
+}
+
+/// Returns the link that carries `message`.
+///
+/// ```
+/// use wasabicrank_lib::coordination::{ConfigPull, PeerMessage};
+/// use wasabicrank_lib::protocol::LinkKind;
+/// use wasabicrank_lib::transport::link_kind;
+/// let pull = PeerMessage::ConfigPull(ConfigPull { have: 0, have_hash: 0 });
+/// assert_eq!(link_kind(&pull), LinkKind::Control);
+/// ```
+pub fn link_kind(message: &PeerMessage) -> LinkKind {
+    match message {
+        PeerMessage::Heartbeat(_)
+        | PeerMessage::Lease(_)
+        | PeerMessage::ConfigPull(_)
+        | PeerMessage::Config(_)
+        | PeerMessage::TargetSeen(_) => LinkKind::Control,
+        PeerMessage::Ask(_)
+        | PeerMessage::Grant(_)
+        | PeerMessage::Deny(_)
+        | PeerMessage::Withdraw(_)
+        | PeerMessage::FirstToken(_)
+        | PeerMessage::Finished(_)
+        | PeerMessage::Forward(_)
+        | PeerMessage::Answer(_) => LinkKind::Work,
+    }
+}
+
+/// Locks `mutex`; what it guards is whole between any two statements, also after a panic.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn wall_time() -> WallTime {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    WallTime(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/lib/src/transport/peer_links/stream.rs
@@ -0,0 +1,140 @@
+//! Reading and writing of a peer connection's bytes within time and size limits.
+
+use std::io;
+use std::io::ErrorKind;
+use std::io::Read;
+use std::net::TcpStream;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::TryRngCore;
+use rand::rngs::OsRng;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+
+use crate::protocol::FrameError;
+use crate::protocol::LENGTH_BYTES;
+use crate::protocol::NONCE_BYTES;
+use crate::protocol::Nonce;
+use crate::protocol::frame_len;
+
+/// How long one write may wait for the peer before the connection is given up.
+pub(super) const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a frame may take to arrive once its length has.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long sent bytes may stay without acknowledgement before the connection is given up.
+const ACK_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long a connection is silent before its other end is probed, and between probes.
+const KEEPALIVE: Duration = Duration::from_secs(5);
+/// How many bytes of a frame are read at a time, so that memory follows what really arrives.
+const READ_CHUNK: usize = 64 * 1024;
+
+/// Why a connection yields no further frame.
+pub(super) enum ReadError {
+    /// The connection ended or failed.
+    Io(io::Error),
+    /// What arrived is not a frame.
+    Frame(FrameError),
+}
+
+impl From<io::Error> for ReadError {
+    fn from(error: io::Error) -> Self {
+        ReadError::Io(error)
+    }
+}
+
+impl From<FrameError> for ReadError {
+    fn from(error: FrameError) -> Self {
+        ReadError::Frame(error)
+    }
+}
+
+/// Sets what both ends of a connection need: no delay, time limits, and probes when silent.
+pub(super) fn prepare(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    socket.set_tcp_nodelay(true)?;
+    socket.set_write_timeout(Some(WRITE_TIMEOUT))?;
+    socket.set_tcp_user_timeout(Some(ACK_TIMEOUT))?;
+    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE))
+}
+
+/// Fills `buffer` before `deadline`.
+pub(super) fn read_by(
+    stream: &mut TcpStream,
+    buffer: &mut [u8],
+    deadline: Instant,
+) -> io::Result<()> {
+    let mut filled = 0;
+    while filled < buffer.len() {
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(ErrorKind::TimedOut.into());
+        }
+        stream.set_read_timeout(Some(left))?;
+        match stream.read(&mut buffer[filled..]) {
+            Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
+            Ok(read) => filled += read,
+            Err(error) if is_retryable(&error) => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
+}
+
+/// Reads the first frame of a connection, without its length, before `deadline`.
+pub(super) fn read_first(
+    stream: &mut TcpStream,
+    limit: usize,
+    deadline: Instant,
+) -> Result<Vec<u8>, ReadError> {
+    let mut prefix = [0; LENGTH_BYTES];
+    read_by(stream, &mut prefix, deadline)?;
+    let mut frame = vec![0; frame_len(prefix, limit)?];
+    read_by(stream, &mut frame, deadline)?;
+    Ok(frame)
+}
+
+/// Reads the next frame, without its length, into `frame`; waits as long as nothing comes.
+pub(super) fn read_frame(
+    stream: &mut TcpStream,
+    frame: &mut Vec<u8>,
+    limit: usize,
+) -> Result<(), ReadError> {
+    let mut prefix = [0; LENGTH_BYTES];
+    stream.set_read_timeout(None)?;
+    stream.read_exact(&mut prefix[..1])?;
+    let deadline = Instant::now() + FRAME_TIMEOUT;
+    read_by(stream, &mut prefix[1..], deadline)?;
+    let len = frame_len(prefix, limit)?;
+    frame.clear();
+    frame.shrink_to(READ_CHUNK);
+    while frame.len() < len {
+        let start = frame.len();
+        frame.resize(len.min(start + READ_CHUNK), 0);
+        read_by(stream, &mut frame[start..], deadline)?;
+    }
+    Ok(())
+}
+
+/// Tells whether the peer has closed a connection on which it sends nothing.
+pub(super) fn is_closed(stream: &TcpStream) -> bool {
+    if stream.set_nonblocking(true).is_err() {
+        return true;
+    }
+    let peeked = stream.peek(&mut [0]);
+    let restored = stream.set_nonblocking(false);
+    let quiet = matches!(&peeked, Err(error) if error.kind() == ErrorKind::WouldBlock);
+    !quiet || restored.is_err()
+}
+
+/// Draws the nonce of one connection.
+pub(super) fn draw_nonce() -> io::Result<Nonce> {
+    let mut bytes = [0; NONCE_BYTES];
+    OsRng.try_fill_bytes(&mut bytes).map_err(io::Error::other)?;
+    Ok(Nonce(bytes))
+}
+
+/// Tells whether a read that failed may be tried again before its deadline.
+fn is_retryable(error: &io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::WouldBlock | ErrorKind::TimedOut)
+}
