--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -17,3 +17,8 @@
 pub use rules_text::RuleFault;
 pub use rules_text::parse as parse_rules;
 pub use settings::*;
+pub(crate) mod frame;
+pub(crate) mod peer_wire;
+
+pub use frame::*;
+pub use peer_wire::*;
