--- /dev/null
+++ b/lib/src/coordination/node/completions.rs
@@ -0,0 +1,503 @@
+//! The life of a completion at the entry host that it reached: admission, placement, leave, answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Node;
+use super::io::AnswerPiece;
+use super::io::CallerTicket;
+use super::io::CompletionForm;
+use super::io::Finish;
+use super::io::Output;
+use super::io::Rejection;
+use super::io::StreamStart;
+use super::running::Asking;
+use super::running::Phase;
+use super::running::Running;
+use super::running::Streaming;
+use crate::coordination::AttemptRef;
+use crate::coordination::PeerMessage;
+use crate::state::AnswerLog;
+use crate::state::Ask;
+use crate::state::AttemptId;
+use crate::state::Candidate;
+use crate::state::Completion;
+use crate::state::CustomerName;
+use crate::state::Deny;
+use crate::state::EngineName;
+use crate::state::EngineRole;
+use crate::state::Event;
+use crate::state::Finished;
+use crate::state::Grant;
+use crate::state::HostName;
+use crate::state::Moment;
+use crate::state::Outcome;
+use crate::state::Placement;
+use crate::state::PlacementQuery;
+use crate::state::Priority;
+use crate::state::Reason;
+use crate::state::Refusal;
+use crate::state::RequestId;
+
+/// How often an ask is repeated while its dispatcher is silent.
+const ASK_AGAIN: Duration = Duration::from_secs(1);
+
+/// The most engines that one request is tried at.
+const MAX_ATTEMPTS: u32 = 6;
+
+/// When a caller may come back to a process that has no configuration yet.
+const START_RETRY: Duration = Duration::from_secs(2);
+
+/// When a caller may come back, through the balancer, to another entry host.
+const STOP_RETRY: Duration = Duration::from_secs(1);
+
+/// How a request that the rules allow is checked before it is admitted.
+enum Admission {
+    Rejected(Rejection),
+    Refused(RequestId, Refusal),
+    Admitted(Box<Completion>, AnswerLog),
+}
+
+impl Node {
+    /// Takes a completion request.
+    pub(super) fn on_completion(
+        &mut self,
+        now: Moment,
+        ticket: CallerTicket,
+        form: CompletionForm,
+    ) {
+        match self.admit(now, form) {
+            Admission::Rejected(rejection) => {
+                self.answer(ticket, AnswerPiece::Rejected(rejection));
+            }
+            Admission::Refused(id, refusal) => self.refuse_new(ticket, id, refusal),
+            Admission::Admitted(completion, log) => self.start(now, ticket, *completion, log),
+        }
+    }
+
+    fn admit(&mut self, now: Moment, form: CompletionForm) -> Admission {
+        let id = self.next_id();
+        if let Some(refusal) = self.closed() {
+            return Admission::Refused(id, refusal);
+        }
+        let Some(customer) = self.customer_of(form.token_hash) else {
+            return Admission::Rejected(Rejection::UnknownCustomer);
+        };
+        let Some(model) = self.rules.models.get(&form.model) else {
+            return Admission::Rejected(Rejection::UnknownModel(form.model));
+        };
+        let tokens = form.prompt.tokens;
+        if tokens > model.max_prompt {
+            let limit = model.max_prompt;
+            return Admission::Rejected(Rejection::PromptTooLong { tokens, limit });
+        }
+        let max_output = form.max_output.min(model.max_output);
+        let span = form.deadline.unwrap_or(model.deadline);
+        let wanted = tokens.saturating_add(max_output);
+        if let Err(refusal) = self.limits.admit(now, &customer, wanted) {
+            return Admission::Refused(id, refusal);
+        }
+        let priority = form.priority.unwrap_or_else(|| self.usual_priority(&customer));
+        let (resume_from, log) = match &form.resume {
+            Some(point) => (point.tokens, AnswerLog::resume(point.tokens, &point.text)),
+            None => (0, AnswerLog::resume(0, "")),
+        };
+        let completion = Completion {
+            id,
+            customer,
+            model: form.model,
+            prompt: form.prompt,
+            options: form.options,
+            max_output,
+            priority,
+            arrived: now,
+            deadline: now + span,
+            resume_from,
+        };
+        Admission::Admitted(Box::new(completion), log)
+    }
+
+    /// Returns why this host takes no request at all, if it takes none.
+    pub(super) fn closed(&self) -> Option<Refusal> {
+        if self.control.stopping() {
+            return Some(not_run(Reason::Stopping, Some(STOP_RETRY)));
+        }
+        if self.rules.version == 0 || self.list.version == 0 {
+            return Some(not_run(Reason::NoConfiguration, Some(START_RETRY)));
+        }
+        None
+    }
+
+    fn usual_priority(&self, customer: &CustomerName) -> Priority {
+        self.rules.customers.get(customer).map_or(Priority::Normal, |rule| rule.priority)
+    }
+
+    /// Refuses a request that was never admitted.
+    pub(super) fn refuse_new(&mut self, ticket: CallerTicket, id: RequestId, refusal: Refusal) {
+        self.note(Event::Refused { request: id, refusal });
+        self.answer(ticket, AnswerPiece::Accepted(id));
+        self.answer(ticket, AnswerPiece::Refused(refusal));
+    }
+
+    fn start(
+        &mut self,
+        now: Moment,
+        ticket: CallerTicket,
+        completion: Completion,
+        answer: AnswerLog,
+    ) {
+        let id = completion.id;
+        let prompt_tokens = completion.prompt.tokens;
+        let deadline = completion.deadline.since(now);
+        self.retries.first_try(now);
+        self.answer(ticket, AnswerPiece::Accepted(id));
+        self.note(Event::Admitted { request: id, prompt_tokens, deadline });
+        let nobody = Asking {
+            engine: EngineName::new(""),
+            dispatcher: self.host.clone(),
+            asked: now,
+        };
+        self.running.insert(Running {
+            completion,
+            ticket,
+            answer,
+            attempt: 0,
+            phase: Phase::Asking(nobody),
+            excluded: Vec::new(),
+            ran: false,
+            first: None,
+        });
+        self.place(now, id, None);
+    }
+
+    /// Chooses an engine for a request and asks its dispatcher for leave, or refuses the request.
+    ///
+    /// `room_in` is what the last dispatcher that denied it expects.
+    pub(super) fn place(&mut self, now: Moment, id: RequestId, room_in: Option<Duration>) {
+        let candidates = self.candidates();
+        let Some(running) = self.running.get(id) else { return };
+        let prompt = &running.completion.prompt;
+        let query = PlacementQuery {
+            model: &running.completion.model,
+            prompt_tokens: prompt.tokens + running.answer.sent(),
+            output_tokens: running.completion.max_output.saturating_sub(running.answer.sent()),
+            blocks: &prompt.blocks,
+            left: running.completion.deadline.since(now),
+            tried: &running.excluded,
+        };
+        let choice = self.placer.choose(now, &query, &candidates);
+        match choice.placement {
+            Placement::Engine { engine, .. } => {
+                let Some(running) = self.running.get_mut(id) else { return };
+                running.attempt += 1;
+                let attempt = running.attempt_id();
+                let tokens = running.completion.prompt.tokens;
+                self.placer.placed(now, &engine, tokens);
+                let considered = choice.considered;
+                self.note(Event::Placed { attempt, engine: engine.clone(), considered });
+                self.ask(now, id, engine);
+            }
+            Placement::Group(plans) => self.start_group(now, id, plans),
+            Placement::Refuse { reason, retry_after } => {
+                let retry = retry_after.or(room_in);
+                self.give_up(now, id, reason, retry);
+            }
+        }
+    }
+
+    /// Returns the engines as placement may choose them.
+    fn candidates(&self) -> Vec<Candidate> {
+        let engines = self.list.engines.iter();
+        let describe = |engine: &crate::state::Engine| {
+            let role = self.rules.engine(engine.name.as_str()).map(|rule| rule.role);
+            let mut candidate =
+                Candidate::new(engine.name.clone(), engine.zone.clone(), engine.memory);
+            candidate.role = role.unwrap_or(EngineRole::Any);
+            candidate.live = self.targets.takes_work(engine.addr);
+            candidate
+        };
+        engines.map(describe).collect()
+    }
+
+    /// Asks the dispatcher of `engine` for leave to start the newest attempt.
+    pub(super) fn ask(&mut self, now: Moment, id: RequestId, engine: EngineName) {
+        let zone = self.list.engines.iter().find(|e| e.name == engine).map(|e| e.zone.clone());
+        let dispatcher = zone.and_then(|zone| self.members.dispatcher_of(&engine, &zone));
+        let Some(dispatcher) = dispatcher else {
+            self.give_up(now, id, Reason::NoTarget, Some(START_RETRY));
+            return;
+        };
+        let Some(running) = self.running.get_mut(id) else { return };
+        running.phase = Phase::Asking(Asking {
+            engine: engine.clone(),
+            dispatcher: dispatcher.clone(),
+            asked: now,
+        });
+        let Some(ask) = self.make_ask(now, id, engine) else { return };
+        self.send_ask(now, &dispatcher, ask);
+    }
+
+    fn make_ask(&self, now: Moment, id: RequestId, engine: EngineName) -> Option<Ask> {
+        let running = self.running.get(id)?;
+        let completion = &running.completion;
+        let weight = self.rules.customers.get(&completion.customer).map_or(1, |rule| rule.weight);
+        Some(Ask {
+            attempt: running.attempt_id(),
+            engine,
+            customer: completion.customer.clone(),
+            weight,
+            priority: completion.priority,
+            prompt_tokens: completion.prompt.tokens + running.answer.sent(),
+            output_tokens: completion.max_output.saturating_sub(running.answer.sent()),
+            blocks: completion.prompt.blocks.clone(),
+            waited: now.since(completion.arrived),
+            left: completion.deadline.since(now),
+            segment: false,
+        })
+    }
+
+    pub(super) fn send_ask(&mut self, now: Moment, dispatcher: &HostName, ask: Ask) {
+        if *dispatcher == self.host {
+            self.on_ask(now, self.incarnation, ask);
+        } else {
+            self.send(dispatcher, PeerMessage::Ask(Box::new(ask)));
+        }
+    }
+
+    /// Tells the dispatcher of an attempt something, be it this host or a peer.
+    pub(super) fn tell_dispatcher(&mut self, now: Moment, to: &HostName, message: PeerMessage) {
+        if *to != self.host {
+            self.send(to, message);
+            return;
+        }
+        match message {
+            PeerMessage::Withdraw(withdrawn) => self.on_withdraw(now, &withdrawn),
+            PeerMessage::FirstToken(first) => self.on_first_token(now, &first),
+            PeerMessage::Finished(finished) => self.on_finished(now, &finished),
+            _ => {}
+        }
+    }
+
+    /// Starts the stream for which leave was given, or gives the leave back if it came too late.
+    pub(super) fn on_grant(&mut self, now: Moment, from: &HostName, grant: Grant) {
+        if self.on_group_grant(now, &grant) {
+            return;
+        }
+        let id = grant.attempt.request;
+        if !self.waits_for(grant.attempt) {
+            self.give_back(now, from, grant.attempt, grant.engine);
+            return;
+        }
+        let engine = self.list.engines.iter().find(|engine| engine.name == grant.engine);
+        let Some(addr) = engine.map(|engine| engine.addr) else {
+            self.give_back(now, from, grant.attempt, grant.engine);
+            self.place(now, id, None);
+            return;
+        };
+        let (attempt, queued) = (grant.attempt, grant.queued);
+        self.note(Event::Granted { attempt, engine: grant.engine.clone(), queued });
+        let owner = self.incarnation;
+        let Some(running) = self.running.get_mut(id) else { return };
+        let completion = &running.completion;
+        let start = StreamStart {
+            engine: grant.engine.clone(),
+            addr,
+            attempt,
+            owner,
+            model: completion.model.clone(),
+            text: completion.prompt.text.clone(),
+            range: 0..completion.prompt.text.len(),
+            options: completion.options.clone(),
+            max_output: completion.max_output,
+            priority: engine_priority(completion),
+            resume_from: running.answer.sent(),
+            answered: running.answered(),
+            segments: Vec::new(),
+            prefill_only: false,
+            left: completion.deadline.since(now),
+        };
+        running.ran = true;
+        running.phase = Phase::Streaming(Streaming {
+            engine: grant.engine,
+            addr,
+            dispatcher: from.clone(),
+            started: now,
+            flowing: None,
+            heard: now,
+        });
+        self.emit(Output::StartStream(Box::new(start)));
+    }
+
+    fn waits_for(&self, attempt: AttemptId) -> bool {
+        let Some(running) = self.running.get(attempt.request) else { return false };
+        running.attempt == attempt.number && matches!(running.phase, Phase::Asking(_))
+    }
+
+    fn give_back(&mut self, now: Moment, to: &HostName, attempt: AttemptId, engine: EngineName) {
+        let withdrawn = PeerMessage::Withdraw(AttemptRef { attempt, engine });
+        self.tell_dispatcher(now, to, withdrawn);
+    }
+
+    /// Moves a request that was denied leave to another engine.
+    pub(super) fn on_deny(&mut self, now: Moment, deny: Deny) {
+        if self.on_group_deny(now, &deny) || !self.waits_for(deny.attempt) {
+            return;
+        }
+        let id = deny.attempt.request;
+        let (attempt, engine, reason) = (deny.attempt, deny.engine.clone(), deny.reason);
+        self.note(Event::Denied { attempt, engine, reason });
+        let Some(running) = self.running.get_mut(id) else { return };
+        running.excluded.push(deny.engine);
+        if running.attempt >= MAX_ATTEMPTS {
+            self.give_up(now, id, deny.reason, deny.room_in);
+            return;
+        }
+        self.place(now, id, deny.room_in);
+    }
+
+    /// Repeats asks that may have been lost, and asks anew where the dispatcher has changed.
+    pub(super) fn repeat_asks(&mut self, now: Moment) {
+        let waiting = self.running.iter().filter_map(|running| match &running.phase {
+            Phase::Asking(asking) if now.since(asking.asked) >= ASK_AGAIN => {
+                Some((running.completion.id, asking.engine.clone()))
+            }
+            _ => None,
+        });
+        let waiting: Vec<(RequestId, EngineName)> = waiting.collect();
+        for (id, engine) in waiting {
+            if self.targets.takes_work_named(&self.list, &engine) {
+                self.ask(now, id, engine);
+            } else {
+                self.withdraw(now, id);
+                self.place(now, id, None);
+            }
+        }
+    }
+
+    /// Takes back what a request has asked for or been granted, and cancels its stream.
+    pub(super) fn withdraw(&mut self, now: Moment, id: RequestId) {
+        let Some(running) = self.running.get(id) else { return };
+        let attempt = running.attempt_id();
+        match &running.phase {
+            Phase::Asking(asking) => {
+                let Asking { engine, dispatcher, .. } = asking.clone();
+                self.give_back(now, &dispatcher, attempt, engine);
+            }
+            Phase::Streaming(streaming) => {
+                let streaming = streaming.clone();
+                let sent = running.answer.sent();
+                self.emit(Output::CancelStream { attempt, addr: streaming.addr });
+                self.finish_attempt(now, attempt, &streaming, sent, false);
+            }
+            Phase::Group(_) => self.withdraw_group(now, id),
+        }
+    }
+
+    /// Tells the dispatcher that an attempt is over.
+    pub(super) fn finish_attempt(
+        &mut self,
+        now: Moment,
+        attempt: AttemptId,
+        streaming: &Streaming,
+        output_tokens: u32,
+        failed: bool,
+    ) {
+        let decode = streaming.flowing.map_or(Duration::ZERO, |flowing| now.since(flowing));
+        let engine = streaming.engine.clone();
+        let finished = Finished { attempt, engine, output_tokens, decode, failed };
+        let dispatcher = streaming.dispatcher.clone();
+        self.tell_dispatcher(now, &dispatcher, PeerMessage::Finished(finished));
+    }
+
+    /// Ends a request without its answer; whether it ran decides what the caller is told.
+    pub(super) fn give_up(
+        &mut self,
+        now: Moment,
+        id: RequestId,
+        reason: Reason,
+        retry_after: Option<Duration>,
+    ) {
+        let Some(running) = self.running.get(id) else { return };
+        let outcome = if running.ran { Outcome::Failed } else { Outcome::NotRun };
+        self.end_refused(now, id, Refusal { outcome, reason, retry_after });
+    }
+
+    /// Ends a request with `refusal`, at once.
+    pub(super) fn end_refused(&mut self, now: Moment, id: RequestId, refusal: Refusal) {
+        self.withdraw(now, id);
+        let Some(running) = self.running.remove(id) else { return };
+        let unused = if running.ran { 0 } else { wanted_tokens(&running.completion) };
+        self.limits.release(now, &running.completion.customer, unused);
+        self.note(Event::Refused { request: id, refusal });
+        self.answer(running.ticket, AnswerPiece::Refused(refusal));
+    }
+
+    /// Ends a request with its whole answer.
+    pub(super) fn end_whole(&mut self, now: Moment, id: RequestId, finish: Finish) {
+        let Some(running) = self.running.remove(id) else { return };
+        let completion = &running.completion;
+        let tokens = running.answer.sent();
+        let unused = completion.max_output.saturating_sub(tokens);
+        self.limits.release(now, &completion.customer, unused);
+        let after = now.since(completion.arrived);
+        self.note(Event::Completed { request: id, tokens, after });
+        let prompt_tokens = completion.prompt.tokens;
+        let end = AnswerPiece::End { finish, prompt_tokens, output_tokens: tokens };
+        self.answer(running.ticket, end);
+    }
+
+    /// Drops the work of a caller that closed its connection.
+    pub(super) fn on_caller_gone(&mut self, now: Moment, ticket: CallerTicket) {
+        if let Some(id) = self.running.of_ticket(ticket) {
+            self.give_up(now, id, Reason::CallerGone, None);
+            return;
+        }
+        self.calls.forget_caller(ticket);
+    }
+
+    /// Ends every request whose deadline has passed.
+    pub(super) fn end_overdue(&mut self, now: Moment) {
+        while let Some(id) = self.running.overdue(now) {
+            self.give_up(now, id, Reason::DeadlinePassed, None);
+        }
+    }
+
+    /// Tells whether an attempt of this process is still running.
+    pub(super) fn has_attempt(&self, attempt: AttemptId) -> bool {
+        let Some(running) = self.running.get(attempt.request) else { return false };
+        match &running.phase {
+            Phase::Group(group) => group.group.attempts().any(|(id, _)| id == attempt),
+            Phase::Asking(_) | Phase::Streaming(_) => running.attempt == attempt.number,
+        }
+    }
+}
+
+/// Makes a refusal of a request that did not run.
+pub(super) fn not_run(reason: Reason, retry_after: Option<Duration>) -> Refusal {
+    Refusal { outcome: Outcome::NotRun, reason, retry_after }
+}
+
+/// Returns the tokens that a request was admitted for.
+fn wanted_tokens(completion: &Completion) -> u32 {
+    completion.prompt.tokens.saturating_add(completion.max_output)
+}
+
+/// Returns the priority at the engine: short prompts pass long ones, then the caller's word counts.
+pub(super) fn engine_priority(completion: &Completion) -> u8 {
+    let length = match completion.prompt.tokens {
+        0..=4_096 => 6,
+        4_097..=32_768 => 3,
+        _ => 0,
+    };
+    let named = match completion.priority {
+        Priority::Low => 0,
+        Priority::Normal => 1,
+        Priority::High => 2,
+    };
+    length + named
+}
+
+/// Returns the shared text of an empty answer.
+pub(super) fn no_text() -> Arc<str> {
+    Arc::from("")
+}
--- /dev/null
+++ b/lib/src/coordination/node/dispatch.rs
@@ -0,0 +1,216 @@
+//! The engines that this entry host dispatches for: their queues, listings and orphans.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use super::Node;
+use super::io::EnginePoll;
+use super::io::Output;
+use crate::coordination::OwnerState;
+use crate::coordination::PeerMessage;
+use crate::state::Ask;
+use crate::state::AttemptId;
+use crate::state::Engine;
+use crate::state::EngineLoad;
+use crate::state::EngineName;
+use crate::state::EngineQueue;
+use crate::state::EngineReport;
+use crate::state::Event;
+use crate::state::HostName;
+use crate::state::Incarnation;
+use crate::state::ListedAttempt;
+use crate::state::Moment;
+use crate::state::QueuePolicy;
+use crate::state::Suspect;
+use crate::state::TargetState;
+use crate::state::Verdict;
+
+/// The share of an engine's polls that fail in a row before it counts as not answering.
+const SILENT_POLLS: u32 = 3;
+
+/// An engine that this entry host dispatches for.
+#[derive(Debug)]
+pub(super) struct Owned {
+    pub(super) addr: SocketAddr,
+    pub(super) queue: EngineQueue,
+    /// What the engine last reported of what orders can change.
+    pub(super) report: Option<EngineReport>,
+    poll_at: Moment,
+    polling: bool,
+    silent: u32,
+    /// Since when an attempt has had an owner that is not alive.
+    orphans: BTreeMap<AttemptId, Moment>,
+}
+
+/// All engines that this entry host dispatches for.
+#[derive(Debug, Default)]
+pub(super) struct Dispatchers {
+    pub(super) engines: BTreeMap<EngineName, Owned>,
+}
+
+impl Owned {
+    fn new(engine: &Engine, now: Moment) -> Owned {
+        Owned {
+            addr: engine.addr,
+            queue: EngineQueue::new(engine.name.clone(), engine.memory, QueuePolicy::default()),
+            report: None,
+            poll_at: now,
+            polling: false,
+            silent: 0,
+            orphans: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the attempts whose owner has not been alive for the whole margin.
+    fn ripe_orphans(&mut self, now: Moment, dead: &[Suspect], margin: std::time::Duration) -> Vec<AttemptId> {
+        self.orphans.retain(|attempt, _| dead.iter().any(|suspect| suspect.attempt == *attempt));
+        for suspect in dead {
+            self.orphans.entry(suspect.attempt).or_insert(now);
+        }
+        let ripe = self.orphans.iter().filter(|(_, since)| now.since(**since) >= margin);
+        ripe.map(|(attempt, _)| *attempt).collect()
+    }
+}
+
+impl Node {
+    /// Takes up the engines that now fall to this host and drops those that do not any more.
+    ///
+    /// What was granted at a dropped engine goes on; its new dispatcher adopts it from the listing.
+    pub(super) fn refresh_dispatch(&mut self, now: Moment) {
+        let mine: Vec<Engine> =
+            self.list.engines.iter().filter(|engine| self.is_mine(engine)).cloned().collect();
+        self.dispatch.engines.retain(|name, owned| {
+            mine.iter().any(|engine| engine.name == *name && engine.addr == owned.addr)
+        });
+        for engine in &mine {
+            self.dispatch
+                .engines
+                .entry(engine.name.clone())
+                .or_insert_with(|| Owned::new(engine, now));
+        }
+    }
+
+    fn is_mine(&self, engine: &Engine) -> bool {
+        self.members.dispatcher_of(&engine.name, &engine.zone).as_ref() == Some(&self.host)
+    }
+
+    /// Asks the engines of this host for their listing and load when that is due.
+    pub(super) fn poll_engines(&mut self, now: Moment) {
+        let every = self.tuning.load_poll;
+        for (name, owned) in &mut self.dispatch.engines {
+            if owned.polling || owned.poll_at > now {
+                continue;
+            }
+            owned.polling = true;
+            owned.poll_at = now + every;
+            self.out.push(Output::PollEngine { engine: name.clone(), addr: owned.addr });
+        }
+    }
+
+    /// Takes an engine's answer to a poll, or its silence.
+    pub(super) fn on_polled(&mut self, now: Moment, poll: EnginePoll) {
+        let Some(owned) = self.dispatch.engines.get_mut(&poll.engine) else { return };
+        owned.polling = false;
+        let answers = poll.listing.is_some();
+        owned.silent = if answers { 0 } else { owned.silent + 1 };
+        let healthy = owned.silent < SILENT_POLLS && !poll.refused;
+        owned.queue.set_healthy(healthy);
+        let addr = owned.addr;
+        let mut leaving = false;
+        if let Some(facts) = poll.facts {
+            let models = facts.report.models.iter().map(|loaded| loaded.model.clone()).collect();
+            owned.queue.set_models(models);
+            leaving = facts.report.leaving;
+            owned.report = Some(facts.report);
+        }
+        if let Some(listing) = &poll.listing {
+            self.cancel_orphans(now, &poll.engine, listing);
+        }
+        if leaving {
+            self.see_target(now, addr, Some(TargetState::Leaving));
+        } else if answers {
+            self.see_target(now, addr, Some(TargetState::Live));
+        } else if !healthy {
+            self.see_target(now, addr, None);
+        }
+        self.order_engine(now, &poll.engine);
+    }
+
+    /// Cancels what the engine holds for processes that are gone, after a margin that a slow but
+    /// live owner survives.
+    fn cancel_orphans(&mut self, now: Moment, engine: &EngineName, listing: &[ListedAttempt]) {
+        let Some(owned) = self.dispatch.engines.get_mut(engine) else { return };
+        let suspects = owned.queue.listing(now, listing);
+        let dead: Vec<Suspect> = suspects.into_iter().filter(|s| self.is_orphan(now, s)).collect();
+        let margin = self.tuning.orphan_margin;
+        let Some(owned) = self.dispatch.engines.get_mut(engine) else { return };
+        let addr = owned.addr;
+        for attempt in owned.ripe_orphans(now, &dead, margin) {
+            self.emit(Output::CancelStream { attempt, addr });
+            self.note(Event::OrphanCancelled { attempt, engine: engine.clone() });
+        }
+    }
+
+    fn is_orphan(&self, now: Moment, suspect: &Suspect) -> bool {
+        if suspect.owner == self.incarnation {
+            return !self.has_attempt(suspect.attempt);
+        }
+        self.members.owner_state(now, suspect.owner) == OwnerState::Dead
+    }
+
+    /// Sends the verdicts of all queues to the origins that asked.
+    pub(super) fn poll_queues(&mut self, now: Moment) {
+        let mut verdicts = Vec::new();
+        for owned in self.dispatch.engines.values_mut() {
+            verdicts.append(&mut owned.queue.poll(now));
+        }
+        for verdict in verdicts {
+            self.pass_verdict(now, verdict);
+        }
+    }
+
+    fn pass_verdict(&mut self, now: Moment, verdict: Verdict) {
+        let (to, message) = match verdict {
+            Verdict::Grant { to, grant } => (to, PeerMessage::Grant(grant)),
+            Verdict::Deny { to, deny } => (to, PeerMessage::Deny(deny)),
+        };
+        if to != self.incarnation {
+            // An origin that is gone needs no verdict; its ticket lapses by itself.
+            if let Some(host) = self.host_of(to) {
+                self.send(&host, message);
+            }
+            return;
+        }
+        match message {
+            PeerMessage::Grant(grant) => self.on_grant(now, &self.host.clone(), grant),
+            PeerMessage::Deny(deny) => self.on_deny(now, deny),
+            _ => {}
+        }
+    }
+
+    fn host_of(&self, incarnation: Incarnation) -> Option<HostName> {
+        let mut peers = self.members.peers();
+        peers.find(|(_, peer)| peer.incarnation == Some(incarnation)).map(|(name, _)| name.clone())
+    }
+
+    /// Takes an ask by this or another entry host.
+    pub(super) fn on_ask(&mut self, now: Moment, from: Incarnation, ask: Ask) {
+        if let Some(owned) = self.dispatch.engines.get_mut(&ask.engine) {
+            owned.queue.ask(now, from, ask);
+            return;
+        }
+        // Views of who dispatches differ for a moment; the origin asks again where it now belongs.
+        let deny = crate::state::Deny {
+            attempt: ask.attempt,
+            engine: ask.engine,
+            reason: crate::state::Reason::NoTarget,
+            room_in: None,
+        };
+        self.pass_verdict(now, Verdict::Deny { to: from, deny });
+    }
+
+    /// Returns the load of each engine of this host.
+    pub(super) fn loads(&self) -> Vec<EngineLoad> {
+        self.dispatch.engines.values().map(|owned| owned.queue.load()).collect()
+    }
+}
--- /dev/null
+++ b/lib/src/coordination/node/engine_signals.rs
@@ -0,0 +1,233 @@
+//! What engines' streams say of running attempts, and what that means for the answer.
+
+use std::time::Duration;
+
+use super::Node;
+use super::io::AnswerPiece;
+use super::io::EngineSignal;
+use super::io::EngineWord;
+use super::io::Finish;
+use super::io::Output;
+use super::io::StreamReport;
+use super::running::Phase;
+use super::running::Streaming;
+use crate::coordination::AttemptRef;
+use crate::coordination::PeerMessage;
+use crate::state::AttemptId;
+use crate::state::Event;
+use crate::state::Finished;
+use crate::state::FirstToken;
+use crate::state::Moment;
+use crate::state::Piece;
+use crate::state::Reason;
+use crate::state::RequestId;
+use crate::state::TargetState;
+
+impl Node {
+    /// Takes what an attempt's stream said; anything of an earlier attempt is dropped.
+    pub(super) fn on_engine(&mut self, now: Moment, report: StreamReport) {
+        let StreamReport { attempt, signal, .. } = report;
+        let Some(running) = self.running.get_mut(attempt.request) else { return };
+        if let Phase::Group(_) = running.phase {
+            self.on_group_signal(now, attempt, signal);
+            return;
+        }
+        let current = running.attempt == attempt.number;
+        let Phase::Streaming(streaming) = &mut running.phase else { return };
+        if !current {
+            return;
+        }
+        streaming.heard = now;
+        let streaming = streaming.clone();
+        match signal {
+            EngineSignal::Started { cached, prefill } => {
+                self.on_started(now, attempt, &streaming, cached, prefill);
+            }
+            EngineSignal::Piece { offset, tokens, text } => {
+                let piece = Piece { offset, tokens, text };
+                if !self.pass_piece(now, attempt, piece) {
+                    self.move_on(now, attempt, &streaming, true);
+                }
+            }
+            EngineSignal::Done { finish, tokens } => {
+                self.on_done(now, attempt, &streaming, finish, tokens);
+            }
+            EngineSignal::Refused(word) => self.on_refused(now, attempt, &streaming, word),
+            EngineSignal::Lost { refused } => {
+                if refused {
+                    self.see_target(now, streaming.addr, None);
+                }
+                self.move_on(now, attempt, &streaming, true);
+            }
+            EngineSignal::Exported { .. } => {}
+        }
+    }
+
+    fn on_started(
+        &mut self,
+        now: Moment,
+        attempt: AttemptId,
+        streaming: &Streaming,
+        cached: u32,
+        prefill: Duration,
+    ) {
+        let Some(running) = self.running.get_mut(attempt.request) else { return };
+        if let Phase::Streaming(streaming) = &mut running.phase {
+            streaming.flowing = Some(now);
+        }
+        let blocks = running.completion.prompt.blocks.clone();
+        self.placer.learned(now, &streaming.engine, &blocks);
+        let engine = streaming.engine.clone();
+        let first = FirstToken { attempt, engine, cached, prefill };
+        let dispatcher = streaming.dispatcher.clone();
+        self.tell_dispatcher(now, &dispatcher, PeerMessage::FirstToken(first));
+    }
+
+    /// Passes a piece to the caller if it is the next one; `false` means the stream is of no use.
+    pub(super) fn pass_piece(&mut self, now: Moment, attempt: AttemptId, piece: Piece) -> bool {
+        let Some(running) = self.running.get_mut(attempt.request) else { return true };
+        let Ok(ready) = running.answer.accept(piece) else { return false };
+        if ready.is_empty() {
+            return true;
+        }
+        let ticket = running.ticket;
+        let after = now.since(running.completion.arrived);
+        let engine = match &running.phase {
+            Phase::Streaming(streaming) => Some(streaming.engine.clone()),
+            Phase::Group(group) => group.stream.as_ref().map(|stream| stream.engine.clone()),
+            Phase::Asking(_) => None,
+        };
+        let is_first = running.first.is_none();
+        running.first.get_or_insert(now);
+        if let Some(engine) = engine.filter(|_| is_first) {
+            self.note(Event::FirstToken { attempt, engine, after });
+        }
+        for Piece { offset, tokens, text } in ready {
+            self.answer(ticket, AnswerPiece::Text { upto: offset + tokens, text });
+        }
+        true
+    }
+
+    fn on_done(
+        &mut self,
+        now: Moment,
+        attempt: AttemptId,
+        streaming: &Streaming,
+        finish: Finish,
+        tokens: u32,
+    ) {
+        let Some(running) = self.running.get(attempt.request) else { return };
+        if running.answer.finish(tokens).is_err() {
+            self.move_on(now, attempt, streaming, true);
+            return;
+        }
+        self.finish_attempt(now, attempt, streaming, tokens, false);
+        self.end_whole(now, attempt.request, finish);
+    }
+
+    /// Moves a request on after its engine refused it; nothing of the attempt is held there.
+    fn on_refused(
+        &mut self,
+        now: Moment,
+        attempt: AttemptId,
+        streaming: &Streaming,
+        word: EngineWord,
+    ) {
+        if word == EngineWord::Leaving {
+            self.see_target(now, streaming.addr, Some(TargetState::Leaving));
+        }
+        self.move_on(now, attempt, streaming, false);
+    }
+
+    /// Gives an attempt up and places the request anew, to go on after the last token passed on.
+    ///
+    /// `held` tells whether the engine may still hold something of the attempt.
+    fn move_on(&mut self, now: Moment, attempt: AttemptId, streaming: &Streaming, held: bool) {
+        let id = attempt.request;
+        if held {
+            self.emit(Output::CancelStream { attempt, addr: streaming.addr });
+        }
+        let Some(running) = self.running.get_mut(id) else { return };
+        running.answer.restart();
+        running.excluded.push(streaming.engine.clone());
+        let sent_tokens = running.answer.sent();
+        self.finish_attempt(now, attempt, streaming, sent_tokens, true);
+        let engine = streaming.engine.clone();
+        self.note(Event::Moved { attempt, engine, sent_tokens });
+        self.retry(now, id);
+    }
+
+    /// Tries a request again if the fleet's budget for retries allows that.
+    fn retry(&mut self, now: Moment, id: RequestId) {
+        // The attempt is over, so that ending the request must not give it back a second time.
+        if let Some(running) = self.running.get_mut(id) {
+            let idle = super::running::Asking {
+                engine: crate::state::EngineName::new(""),
+                dispatcher: self.host.clone(),
+                asked: now,
+            };
+            running.phase = Phase::Asking(idle);
+        }
+        match self.retries.retry(now) {
+            Ok(()) => self.place(now, id, None),
+            Err(wait) => self.give_up(now, id, Reason::RetryBudget, Some(wait)),
+        }
+    }
+
+    /// Gives up streams that have been silent for too long.
+    pub(super) fn end_silent_streams(&mut self, now: Moment) {
+        let idle = self.tuning.engine_idle;
+        let silent = self.running.iter().filter_map(|running| match &running.phase {
+            Phase::Streaming(streaming)
+                if streaming.flowing.is_some() && now.since(streaming.heard) > idle =>
+            {
+                Some((running.attempt_id(), streaming.clone()))
+            }
+            _ => None,
+        });
+        let silent: Vec<(AttemptId, Streaming)> = silent.collect();
+        for (attempt, streaming) in silent {
+            self.move_on(now, attempt, &streaming, true);
+        }
+    }
+
+    /// Moves the streams of an engine that was seen gone.
+    pub(super) fn leave_engine(&mut self, now: Moment, addr: std::net::SocketAddr) {
+        let lost = self.running.iter().filter_map(|running| match &running.phase {
+            Phase::Streaming(streaming) if streaming.addr == addr && streaming.flowing.is_none() => {
+                Some((running.attempt_id(), streaming.clone()))
+            }
+            _ => None,
+        });
+        let lost: Vec<(AttemptId, Streaming)> = lost.collect();
+        for (attempt, streaming) in lost {
+            self.move_on(now, attempt, &streaming, true);
+        }
+    }
+
+    /// Takes an ask or an unused grant back.
+    pub(super) fn on_withdraw(&mut self, now: Moment, withdrawn: &AttemptRef) {
+        if let Some(owned) = self.dispatch.engines.get_mut(&withdrawn.engine) {
+            owned.queue.withdraw(now, withdrawn.attempt);
+        }
+    }
+
+    /// Records at the dispatcher that an attempt's prefill is over.
+    pub(super) fn on_first_token(&mut self, now: Moment, first: &FirstToken) {
+        if let Some(owned) = self.dispatch.engines.get_mut(&first.engine) {
+            owned.queue.first_token(now, first);
+        }
+    }
+
+    /// Records at the dispatcher that an attempt is over.
+    pub(super) fn on_finished(&mut self, now: Moment, finished: &Finished) {
+        if let Some(owned) = self.dispatch.engines.get_mut(&finished.engine) {
+            owned.queue.finished(now, finished);
+        }
+    }
+
+    /// Returns the running request of an attempt, if it is the newest.
+    pub(super) fn is_current(&self, id: RequestId, attempt: AttemptId) -> bool {
+        self.running.get(id).is_some_and(|running| running.attempt_id() == attempt)
+    }
+}
--- /dev/null
+++ b/lib/src/coordination/node/groups.rs
@@ -0,0 +1,290 @@
+//! Prompts over one engine's memory: carries out what the group's state machine wants done.
+
+use std::ops::Range;
+use std::sync::Arc;
+
+use super::Node;
+use super::completions::no_text;
+use super::io::EngineSignal;
+use super::io::Finish;
+use super::io::Output;
+use super::io::Segment;
+use super::io::StreamStart;
+use super::running::GroupPhase;
+use super::running::Phase;
+use super::running::Streaming;
+use crate::coordination::AttemptRef;
+use crate::coordination::PeerMessage;
+use crate::state::Ask;
+use crate::state::AttemptId;
+use crate::state::Deny;
+use crate::state::EngineName;
+use crate::state::Event;
+use crate::state::Finished;
+use crate::state::Grant;
+use crate::state::GroupAction;
+use crate::state::HostName;
+use crate::state::LongGroup;
+use crate::state::Moment;
+use crate::state::Outcome;
+use crate::state::Piece;
+use crate::state::Refusal;
+use crate::state::RequestId;
+use crate::state::SegmentExport;
+use crate::state::SegmentPlan;
+
+/// The bytes of text that count as one token.
+const TOKEN_BYTES: usize = 4;
+
+/// A segment that is to be started at its engine.
+struct SegmentStart {
+    attempt: AttemptId,
+    plan: SegmentPlan,
+    start: u32,
+    earlier: Vec<SegmentExport>,
+    last: bool,
+}
+
+impl Node {
+    /// Starts to reserve a group of engines for one prompt.
+    pub(super) fn start_group(&mut self, now: Moment, id: RequestId, plans: Vec<SegmentPlan>) {
+        let Some(running) = self.running.get_mut(id) else { return };
+        let deadline = running.completion.deadline;
+        let first = running.attempt + 1;
+        running.attempt += u32::try_from(plans.len()).unwrap_or(u32::MAX);
+        let mut group = LongGroup::new(id, first, plans, deadline);
+        let actions = group.start();
+        running.phase = Phase::Group(Box::new(GroupPhase { group, stream: None }));
+        self.do_group(now, id, actions);
+    }
+
+    /// Passes a grant to the group that it is for, if it is for one that waits for it.
+    pub(super) fn on_group_grant(&mut self, now: Moment, grant: &Grant) -> bool {
+        let (attempt, queued) = (grant.attempt, grant.queued);
+        let Some(group) = self.group_of(attempt) else { return false };
+        let actions = group.granted(attempt);
+        self.note(Event::Granted { attempt, engine: grant.engine.clone(), queued });
+        self.do_group(now, attempt.request, actions);
+        true
+    }
+
+    /// Passes a denial to the group that it is for, if there is one.
+    pub(super) fn on_group_deny(&mut self, now: Moment, deny: &Deny) -> bool {
+        let (attempt, reason) = (deny.attempt, deny.reason);
+        let Some(group) = self.group_of(attempt) else { return false };
+        let actions = group.denied(attempt, reason, deny.room_in);
+        self.note(Event::Denied { attempt, engine: deny.engine.clone(), reason });
+        self.do_group(now, attempt.request, actions);
+        true
+    }
+
+    fn group_of(&mut self, attempt: AttemptId) -> Option<&mut LongGroup> {
+        let running = self.running.get_mut(attempt.request)?;
+        let Phase::Group(phase) = &mut running.phase else { return None };
+        let is_member = phase.group.attempts().any(|(id, _)| id == attempt);
+        is_member.then_some(&mut phase.group)
+    }
+
+    /// Takes what a member's engine said.
+    pub(super) fn on_group_signal(
+        &mut self,
+        now: Moment,
+        attempt: AttemptId,
+        signal: EngineSignal,
+    ) {
+        let id = attempt.request;
+        match signal {
+            EngineSignal::Exported { export, .. } => {
+                let Some(group) = self.group_of(attempt) else { return };
+                let actions = group.exported(attempt, export.to_string());
+                self.do_group(now, id, actions);
+            }
+            EngineSignal::Piece { offset, tokens, text } => {
+                if !self.pass_piece(now, attempt, Piece { offset, tokens, text }) {
+                    self.fail_member(now, attempt);
+                }
+            }
+            EngineSignal::Done { finish, tokens } => self.end_group(now, attempt, finish, tokens),
+            EngineSignal::Refused(_) | EngineSignal::Lost { .. } => self.fail_member(now, attempt),
+            EngineSignal::Started { .. } => {}
+        }
+    }
+
+    fn end_group(&mut self, now: Moment, attempt: AttemptId, finish: Finish, tokens: u32) {
+        let Some(running) = self.running.get(attempt.request) else { return };
+        if running.answer.finish(tokens).is_err() {
+            self.fail_member(now, attempt);
+            return;
+        }
+        let Some(group) = self.group_of(attempt) else { return };
+        let actions = group.completed(attempt);
+        for action in actions {
+            match action {
+                GroupAction::Complete => self.end_whole(now, attempt.request, finish),
+                action => self.do_group(now, attempt.request, vec![action]),
+            }
+        }
+    }
+
+    fn fail_member(&mut self, now: Moment, attempt: AttemptId) {
+        let Some(group) = self.group_of(attempt) else { return };
+        let engine = group.attempts().find(|(id, _)| *id == attempt).map(|(_, name)| name.clone());
+        let Some(engine) = engine else { return };
+        let actions = group.failed(&engine);
+        self.do_group(now, attempt.request, actions);
+    }
+
+    /// Gives back all that a group has, when its request ends early.
+    pub(super) fn withdraw_group(&mut self, now: Moment, id: RequestId) {
+        let Some(running) = self.running.get_mut(id) else { return };
+        let Phase::Group(phase) = &mut running.phase else { return };
+        let actions = phase.group.caller_gone();
+        for action in actions {
+            if !matches!(action, GroupAction::Refuse(_)) {
+                self.do_group(now, id, vec![action]);
+            }
+        }
+    }
+
+    fn do_group(&mut self, now: Moment, id: RequestId, actions: Vec<GroupAction>) {
+        for action in actions {
+            match action {
+                GroupAction::Ask { attempt, plan } => self.ask_segment(now, attempt, &plan),
+                GroupAction::Prefill { attempt, plan, start, earlier } => {
+                    let segment = SegmentStart { attempt, plan, start, earlier, last: false };
+                    self.start_segment(now, segment);
+                }
+                GroupAction::Generate { attempt, plan, start, earlier } => {
+                    let segment = SegmentStart { attempt, plan, start, earlier, last: true };
+                    self.start_segment(now, segment);
+                }
+                GroupAction::Delete { attempt, engine } => {
+                    self.delete_segment(now, attempt, engine);
+                }
+                GroupAction::Withdraw { attempt, engine } => {
+                    let withdrawn = AttemptRef { attempt, engine };
+                    self.tell_engine_dispatcher(now, withdrawn);
+                }
+                GroupAction::Refuse(refusal) => self.refuse_group(now, id, refusal),
+                GroupAction::Complete => {}
+            }
+        }
+    }
+
+    /// Ends a group's request; one of which any engine has read a part did run.
+    fn refuse_group(&mut self, now: Moment, id: RequestId, refusal: Refusal) {
+        let ran = self.running.get(id).is_some_and(|running| running.ran);
+        let outcome = if ran { Outcome::Failed } else { Outcome::NotRun };
+        self.end_refused(now, id, Refusal { outcome, ..refusal });
+    }
+
+    fn ask_segment(&mut self, now: Moment, attempt: AttemptId, plan: &SegmentPlan) {
+        let Some(running) = self.running.get(attempt.request) else { return };
+        let completion = &running.completion;
+        let weight = self.rules.customers.get(&completion.customer).map_or(1, |rule| rule.weight);
+        let ask = Ask {
+            attempt,
+            engine: plan.engine.clone(),
+            customer: completion.customer.clone(),
+            weight,
+            priority: completion.priority,
+            prompt_tokens: plan.tokens,
+            output_tokens: plan.output_tokens,
+            blocks: Vec::new(),
+            waited: now.since(completion.arrived),
+            left: completion.deadline.since(now),
+            segment: true,
+        };
+        match self.dispatcher_named(&plan.engine) {
+            Some(dispatcher) => self.send_ask(now, &dispatcher, ask),
+            None => self.fail_member(now, attempt),
+        }
+    }
+
+    fn dispatcher_named(&self, engine: &EngineName) -> Option<HostName> {
+        let engine = self.list.engines.iter().find(|listed| listed.name == *engine)?;
+        self.members.dispatcher_of(&engine.name, &engine.zone)
+    }
+
+    fn start_segment(&mut self, now: Moment, segment: SegmentStart) {
+        let SegmentStart { attempt, plan, start, earlier, last } = segment;
+        let dispatcher = self.dispatcher_named(&plan.engine);
+        let addr = self.engine_addr(&plan.engine);
+        let segments = self.segments(&earlier);
+        let (Some(dispatcher), Some(addr), Some(segments)) = (dispatcher, addr, segments) else {
+            self.fail_member(now, attempt);
+            return;
+        };
+        let owner = self.incarnation;
+        let Some(running) = self.running.get_mut(attempt.request) else { return };
+        let completion = &running.completion;
+        let text = completion.prompt.text.clone();
+        let range = segment_range(&text, start, plan.tokens, last);
+        let stream = StreamStart {
+            engine: plan.engine.clone(),
+            addr,
+            attempt,
+            owner,
+            model: completion.model.clone(),
+            text,
+            range,
+            options: completion.options.clone(),
+            max_output: completion.max_output,
+            priority: super::completions::engine_priority(completion),
+            resume_from: completion.resume_from,
+            answered: no_text(),
+            segments,
+            prefill_only: !last,
+            left: completion.deadline.since(now),
+        };
+        running.ran = true;
+        if let (true, Phase::Group(phase)) = (last, &mut running.phase) {
+            phase.stream = Some(Streaming {
+                engine: plan.engine,
+                addr,
+                dispatcher,
+                started: now,
+                flowing: None,
+                heard: now,
+            });
+        }
+        self.emit(Output::StartStream(Box::new(stream)));
+    }
+
+    fn engine_addr(&self, engine: &EngineName) -> Option<std::net::SocketAddr> {
+        let engine = self.list.engines.iter().find(|listed| listed.name == *engine)?;
+        Some(engine.addr)
+    }
+
+    /// Returns where the earlier segments are, or `None` if one of their engines is gone.
+    fn segments(&self, earlier: &[SegmentExport]) -> Option<Vec<Segment>> {
+        let place = |export: &SegmentExport| {
+            let addr = self.engine_addr(&export.engine)?;
+            let name: Arc<str> = Arc::from(export.export.as_str());
+            Some(Segment { addr, export: name, tokens: export.tokens })
+        };
+        earlier.iter().map(place).collect()
+    }
+
+    fn delete_segment(&mut self, now: Moment, attempt: AttemptId, engine: EngineName) {
+        if let Some(addr) = self.engine_addr(&engine) {
+            self.emit(Output::CancelStream { attempt, addr });
+        }
+        let Some(dispatcher) = self.dispatcher_named(&engine) else { return };
+        let decode = std::time::Duration::ZERO;
+        let finished = Finished { attempt, engine, output_tokens: 0, decode, failed: false };
+        self.tell_dispatcher(now, &dispatcher, PeerMessage::Finished(finished));
+    }
+
+    fn tell_engine_dispatcher(&mut self, now: Moment, withdrawn: AttemptRef) {
+        let Some(dispatcher) = self.dispatcher_named(&withdrawn.engine) else { return };
+        self.tell_dispatcher(now, &dispatcher, PeerMessage::Withdraw(withdrawn));
+    }
+}
+
+/// Returns the bytes of a segment, moved to where characters begin; the last reaches to the end.
+fn segment_range(text: &str, start: u32, tokens: u32, last: bool) -> Range<usize> {
+    let byte = |tokens: u32| text.floor_char_boundary(tokens as usize * TOKEN_BYTES);
+    let end = if last { text.len() } else { byte(start + tokens) };
+    byte(start)..end
+}
--- a/lib/src/coordination/node/io.rs
+++ b/lib/src/coordination/node/io.rs
@@ -13,6 +13,7 @@
 use crate::state::Event;
 use crate::state::HostName;
 use crate::state::Incarnation;
+use crate::state::ListedAttempt;
 use crate::state::LiveList;
 use crate::state::ModelName;
 use crate::state::Order;
@@ -378,30 +379,6 @@
     pub refused: bool,
 }
 
-/// An attempt that holds memory on an engine, by the engine's own listing.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ListedAttempt {
-    /// The attempt.
-    pub attempt: AttemptId,
-    /// The incarnation that owns it.
-    pub owner: Incarnation,
-    /// What it is.
-    pub kind: ListedKind,
-    /// The memory that it holds, in tokens.
-    pub held: u32,
-    /// How long ago it came.
-    pub age: Duration,
-}
-
-/// What holds memory on an engine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum ListedKind {
-    /// A running stream.
-    Stream,
-    /// A segment kept for other engines.
-    Export,
-}
-
 /// An engine's own figures, which lag.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct EngineFacts {
--- a/lib/src/coordination/node/mod.rs
+++ b/lib/src/coordination/node/mod.rs
@@ -1,5 +1,196 @@
 //! The core: one `Node` an entry host, driven by inputs and giving outputs.
+//!
+//! `Node` reads no clock, opens no socket and starts no thread. The daemon drives it in real time;
+//! tests drive the same type with clocks and messages of their own.
 
+mod calls;
+mod completions;
+mod control;
+mod dispatch;
+mod engine_signals;
+mod groups;
 mod io;
+mod orders;
+mod running;
+mod status;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 pub use io::*;
+pub use status::*;
+
+use crate::coordination::ConfigSpread;
+use crate::coordination::Homes;
+use crate::coordination::Members;
+use crate::coordination::PeerMessage;
+use crate::coordination::RulesChecker;
+use crate::coordination::Targets;
+use crate::state::CustomerLimits;
+use crate::state::CustomerName;
+use crate::state::Event;
+use crate::state::HostName;
+use crate::state::Incarnation;
+use crate::state::LiveList;
+use crate::state::Moment;
+use crate::state::Now;
+use crate::state::Placer;
+use crate::state::RequestId;
+use crate::state::RetryBudget;
+use crate::state::Rules;
+use crate::state::Tuning;
+use crate::state::ZoneName;
+use calls::CallTable;
+use control::Control;
+use dispatch::Dispatchers;
+use orders::OrderDesk;
+use running::RunningTable;
+
+/// What a core needs to know of its process.
+pub struct NodeSettings {
+    /// The published name of this entry host.
+    pub host: HostName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// This process's incarnation.
+    pub incarnation: Incarnation,
+    /// The seed of its random numbers.
+    pub seed: u64,
+    /// What it decides by.
+    pub tuning: Tuning,
+    /// Peers to ask while no live list is known.
+    pub seeds: Vec<PeerAddr>,
+    /// Reads and checks a configuration's text.
+    pub checker: Box<dyn RulesChecker>,
+}
+
+/// The core of one entry host.
+pub struct Node {
+    host: HostName,
+    zone: ZoneName,
+    incarnation: Incarnation,
+    tuning: Tuning,
+    rng: SmallRng,
+    rules: Arc<Rules>,
+    tokens: HashMap<[u8; 8], CustomerName>,
+    list: LiveList,
+    members: Members,
+    targets: Targets,
+    config: ConfigSpread,
+    homes: Homes,
+    control: Control,
+    placer: Placer,
+    limits: CustomerLimits,
+    retries: RetryBudget,
+    running: RunningTable,
+    calls: CallTable,
+    dispatch: Dispatchers,
+    orders: OrderDesk,
+    seq: u64,
+    out: Vec<Output>,
+}
+
+impl Node {
+    /// Makes the core of a process that has just started and knows nothing yet.
+    pub fn new(now: Now, settings: NodeSettings) -> Node {
+        let NodeSettings { host, zone, incarnation, seed, tuning, seeds, checker } = settings;
+        let mut rng = SmallRng::seed_from_u64(seed);
+        Node {
+            members: Members::new(host.clone(), zone.clone(), tuning.suspect, now.mono),
+            targets: Targets::new(host.clone(), now.mono),
+            config: ConfigSpread::new(&host, &tuning, checker, &mut rng, now.mono),
+            homes: Homes::new(host.clone(), incarnation, &tuning, &mut rng, now),
+            control: Control::new(seeds, now.mono),
+            placer: Placer::new(zone.clone(), &mut rng),
+            limits: CustomerLimits::new(),
+            retries: RetryBudget::new(now.mono),
+            running: RunningTable::default(),
+            calls: CallTable::default(),
+            dispatch: Dispatchers::default(),
+            orders: OrderDesk::new(tuning.weight_loads),
+            rules: Arc::default(),
+            tokens: HashMap::new(),
+            list: LiveList::default(),
+            seq: 0,
+            out: Vec::new(),
+            host,
+            zone,
+            incarnation,
+            tuning,
+            rng,
+        }
+    }
+
+    /// Takes one input and returns what is to be done, in order.
+    pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
+        match input {
+            Input::Tick => self.on_tick(now),
+            Input::Peer(envelope) => self.on_peer(now, envelope),
+            Input::Completion { ticket, form } => self.on_completion(now.mono, ticket, *form),
+            Input::Call { ticket, form } => self.on_call(now, ticket, *form),
+            Input::CallerGone(ticket) => self.on_caller_gone(now.mono, ticket),
+            Input::Engine(report) => self.on_engine(now.mono, report),
+            Input::Polled(poll) => self.on_polled(now.mono, poll),
+            Input::Service(report) => self.on_service(now, report),
+            Input::Config(read) => self.on_config_read(now, read),
+            Input::Live(read) => self.on_live_read(now, read),
+            Input::Ordered(report) => self.on_ordered(now.mono, report),
+            Input::Stop => self.on_stop(now),
+        }
+        self.poll_queues(now.mono);
+        std::mem::take(&mut self.out)
+    }
+
+    /// Returns the seat of the next request's name.
+    fn next_id(&mut self) -> RequestId {
+        self.seq += 1;
+        RequestId { origin: self.incarnation, seq: self.seq }
+    }
+
+    fn emit(&mut self, output: Output) {
+        self.out.push(output);
+    }
+
+    fn note(&mut self, event: Event) {
+        self.out.push(Output::Note(event));
+    }
+
+    fn send(&mut self, to: &HostName, message: PeerMessage) {
+        self.out.push(Output::Send { to: to.clone(), message });
+    }
+
+    fn answer(&mut self, ticket: CallerTicket, piece: AnswerPiece) {
+        self.out.push(Output::Answer { ticket, piece });
+    }
+
+    /// Returns the customer whose token has this hash, compared in constant time.
+    fn customer_of(&self, hash: Option<[u8; 32]>) -> Option<CustomerName> {
+        use subtle::ConstantTimeEq;
+        let hash = hash?;
+        let name = self.tokens.get(&token_index(&hash))?;
+        let rule = self.rules.customers.get(name)?;
+        bool::from(rule.token_hash.ct_eq(&hash)).then(|| name.clone())
+    }
+
+    /// Puts an accepted configuration in force.
+    fn put_in_force(&mut self, now: Moment, rules: Arc<Rules>) {
+        self.tokens = rules
+            .customers
+            .iter()
+            .map(|(name, rule)| (token_index(&rule.token_hash), name.clone()))
+            .collect();
+        self.limits.set_rules(&rules.customers);
+        self.rules = rules;
+        self.refresh_dispatch(now);
+    }
+}
+
+/// Returns the part of a token's hash by which its customer is found.
+fn token_index(hash: &[u8; 32]) -> [u8; 8] {
+    let mut index = [0; 8];
+    index.copy_from_slice(&hash[..8]);
+    index
+}
--- a/lib/src/protocol/engine_api.rs
+++ b/lib/src/protocol/engine_api.rs
@@ -8,12 +8,11 @@
 use crate::coordination::EngineFacts;
 use crate::coordination::EngineSignal;
 use crate::coordination::Finish;
-use crate::coordination::ListedAttempt;
-use crate::coordination::ListedKind;
 use crate::coordination::Segment;
 use crate::state::EngineReport;
 use crate::state::EngineRole;
 use crate::state::Incarnation;
+use crate::state::ListedAttempt;
 use crate::state::LoadedModel;
 use crate::state::ModelName;
 use crate::state::ParseRequestIdError;
@@ -146,12 +145,8 @@
     pub attempt: String,
     /// The incarnation that owns it, as hex digits.
     pub owner: String,
-    /// `stream` or `export`.
-    pub kind: String,
     /// The memory that it holds, in tokens.
     pub held: u32,
-    /// How long ago it came.
-    pub age_ms: u64,
 }
 
 /// Why an entry of a listing could not be understood.
@@ -172,9 +167,7 @@
         Ok(ListedAttempt {
             attempt: entry.attempt.parse().map_err(ListingError::Attempt)?,
             owner: Incarnation(owner),
-            kind: if entry.kind == "export" { ListedKind::Export } else { ListedKind::Stream },
             held: entry.held,
-            age: Duration::from_millis(entry.age_ms),
         })
     }
 }
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -2,12 +2,16 @@
 
 pub(crate) mod caller_api;
 pub(crate) mod engine_api;
-pub(crate) mod platform_api;
+pub(crate) mod frame;
+pub(crate) mod peer_wire;
 pub(crate) mod place;
+pub(crate) mod platform_api;
 pub(crate) mod rules_text;
 pub(crate) mod settings;
 pub(crate) mod spelling;
 
+pub use frame::*;
+pub use peer_wire::*;
 pub use place::*;
 pub use rules_text::MAX_ERRORS;
 pub use rules_text::MAX_LINE_BYTES;
@@ -17,8 +21,3 @@
 pub use rules_text::RuleFault;
 pub use rules_text::parse as parse_rules;
 pub use settings::*;
-pub(crate) mod frame;
-pub(crate) mod peer_wire;
-
-pub use frame::*;
-pub use peer_wire::*;
--- a/lib/src/transport/engine_client.rs
+++ b/lib/src/transport/engine_client.rs
@@ -16,7 +16,6 @@
 use crate::coordination::EngineSignal;
 use crate::coordination::EngineWord;
 use crate::coordination::Input;
-use crate::coordination::ListedAttempt;
 use crate::coordination::OrderReport;
 use crate::coordination::OrderResult;
 use crate::coordination::StreamStart;
@@ -30,6 +29,7 @@
 use crate::state::AttemptId;
 use crate::state::EngineName;
 use crate::state::EngineRole;
+use crate::state::ListedAttempt;
 use crate::state::Order;
 use crate::state::OrderAction;
 
