--- a/lib/testutils/src/engine_model.rs
+++ b/lib/testutils/src/engine_model.rs
@@ -246,6 +246,9 @@
         self.waiting.insert((Reverse(order.priority), seq));
         self.by_name.insert(order.attempt, seq);
         self.queued_tokens += read;
+        // Pins what is cached before the prompt's own memory can push it out.
+        let pinned = self.cache.hits(&order.blocks);
+        self.cache.pin(&order.blocks[..pinned]);
         self.hold(read);
         let attempt = Attempt {
             order,
@@ -253,7 +256,7 @@
             begun: None,
             unread: read,
             cached: 0,
-            pinned: 0,
+            pinned,
             made,
             held: read,
             abandoned: false,
@@ -487,7 +490,7 @@
 /// Takes the cached start of an attempt's prompt into use; returns the tokens saved.
 fn use_cache(cache: &mut PrefixCache, attempt: &mut Attempt) -> u32 {
     let hits = cache.hits(&attempt.order.blocks);
-    cache.pin(&attempt.order.blocks[..hits]);
+    cache.pin(&attempt.order.blocks[attempt.pinned..hits]);
     attempt.pinned = hits;
     let blocks = u32::try_from(hits).unwrap_or(u32::MAX);
     // The last token is always read, for the answer's first token comes from it.
