--- a/lib/testutils/src/server.rs
+++ b/lib/testutils/src/server.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -45,7 +46,7 @@
 #[derive(Debug)]
 pub struct Server {
     addr: SocketAddr,
-    relay: Option<Relay>,
+    relay: Option<Arc<Relay>>,
     shutdown: Shutdown,
 }
 
@@ -62,10 +63,10 @@
         let (port, shutdown) = receiver.await.map_err(io::Error::other)?;
         let inner = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
         let relay = match entrance {
-            Entrance::Relay => Some(Relay::start(inner).await?),
+            Entrance::Relay => Some(Arc::new(Relay::start(inner).await?)),
             Entrance::Direct => None,
         };
-        let addr = relay.as_ref().map_or(inner, Relay::addr);
+        let addr = relay.as_ref().map_or(inner, |relay| relay.addr());
         Ok(Server { addr, relay, shutdown })
     }
 
@@ -74,6 +75,11 @@
         self.addr
     }
 
+    /// Returns the relay in front of the server, if there is one.
+    pub(crate) fn relay(&self) -> Option<Arc<Relay>> {
+        self.relay.clone()
+    }
+
     /// Closes all connections and refuses new ones, as when the process has ended.
     pub fn refuse(&self) {
         if let Some(relay) = &self.relay {
