--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here reads a clock, opens a socket or knows of the layers above.
 
+pub(crate) mod answer;
 pub(crate) mod event;
 pub(crate) mod fleet;
 pub(crate) mod names;
@@ -9,7 +10,9 @@
 pub(crate) mod request;
 pub(crate) mod rules;
 pub(crate) mod time;
+pub(crate) mod tuning;
 
+pub use answer::*;
 pub use event::*;
 pub use fleet::*;
 pub use names::*;
@@ -17,3 +20,4 @@
 pub use request::*;
 pub use rules::*;
 pub use time::*;
+pub use tuning::*;
