--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -1,6 +1,9 @@
 //! Protocol: wire types, their versions and limits, and their way into the core's types.
 
+pub(crate) mod caller_api;
+pub(crate) mod engine_api;
 pub(crate) mod place;
+pub(crate) mod platform_api;
 pub(crate) mod rules_text;
 pub(crate) mod settings;
 pub(crate) mod spelling;
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here reads a clock, opens a socket or knows of the layers above.
 
+pub(crate) mod answer;
 pub(crate) mod event;
 pub(crate) mod fleet;
 pub(crate) mod names;
@@ -11,6 +12,7 @@
 pub(crate) mod time;
 pub(crate) mod tuning;
 
+pub use answer::*;
 pub use event::*;
 pub use fleet::*;
 pub use names::*;
