--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -2,8 +2,8 @@
 
 pub(crate) mod caller_api;
 pub(crate) mod engine_api;
-pub(crate) mod place;
 pub(crate) mod platform_api;
+pub(crate) mod place;
 pub(crate) mod rules_text;
 pub(crate) mod settings;
 pub(crate) mod spelling;
@@ -17,3 +17,8 @@
 pub use rules_text::RuleFault;
 pub use rules_text::parse as parse_rules;
 pub use settings::*;
+pub(crate) mod frame;
+pub(crate) mod peer_wire;
+
+pub use frame::*;
+pub use peer_wire::*;
