--- /dev/null
+++ b/cli/src/commands/mod.rs
@@ -0,0 +1,29 @@
+//! The commands, one module each.
+
+mod check;
+mod hash_token;
+mod settings;
+
+use argh::FromArgs;
+
+use crate::output::Exit;
+
+/// What the user asks for.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Command {
+    Check(check::Check),
+    HashToken(hash_token::HashToken),
+    Settings(settings::PrintSettings),
+}
+
+impl Command {
+    /// Runs the command to its end.
+    pub(crate) fn run(self) -> Exit {
+        match self {
+            Command::Check(command) => command.run(),
+            Command::HashToken(command) => command.run(),
+            Command::Settings(command) => command.run(),
+        }
+    }
+}
--- a/lib/src/protocol/settings/field.rs
+++ b/lib/src/protocol/settings/field.rs
@@ -23,6 +23,8 @@
     pub unit: &'static str,
     /// The value in force where the file has none.
     pub default: Preset,
+    /// A value to start from where there is no default, as JSON text; empty if there is none.
+    pub sample: &'static str,
     /// What it is for, in a sentence.
     pub meaning: &'static str,
 }
--- a/lib/src/protocol/settings/fields.rs
+++ b/lib/src/protocol/settings/fields.rs
@@ -13,6 +13,9 @@
 /// Milliseconds as messages and the printed defaults name them.
 const MILLISECONDS: &str = "milliseconds";
 
+/// Seconds as messages and the printed defaults name them.
+const SECONDS: &str = "seconds";
+
 /// The words for `log_level`, from the fewest lines to the most.
 const LOG_LEVELS: &[&str] = &["critical", "error", "warning", "info", "debug"];
 
@@ -21,79 +24,40 @@
 
 /// Every field that a settings file may have, in the order of the printed defaults.
 pub const FIELDS: &[Field] = &[
-    Field {
-        name: "note",
-        form: Form::Text,
-        unit: "",
-        default: Preset::Text(""),
-        meaning: "A remark for readers of the file; nothing uses it.",
-    },
-    Field {
-        name: "host",
-        form: Form::Name,
-        unit: "",
-        default: Preset::Required,
-        meaning: "The published name of this entry host.",
-    },
-    Field {
-        name: "zone",
-        form: Form::Name,
-        unit: "",
-        default: Preset::Required,
-        meaning: "The availability zone of this entry host.",
-    },
-    Field {
-        name: "ip",
-        form: Form::Ip,
-        unit: "",
-        default: Preset::Required,
-        meaning: "The IP number on which all three ports listen.",
-    },
-    port("caller_port", "The TCP port for callers."),
-    port("operator_port", "The TCP port for operators' pages and metrics."),
-    port("peer_port", "The TCP and UDP port for the other entry hosts."),
-    Field {
-        name: "platform",
-        form: Form::Address,
-        unit: "",
-        default: Preset::Required,
-        meaning: "The configuration service, which also publishes the list of live hosts.",
-    },
-    Field {
-        name: "peers",
-        form: Form::Addresses,
-        unit: "",
-        default: Preset::Empty,
-        meaning: "Peer ports of other entry hosts, asked when the platform is down at the start.",
-    },
-    Field {
-        name: "peer_key",
-        form: Form::Key,
-        unit: "",
-        default: Preset::Absent,
-        meaning: "The key that all entry hosts share; give this or `peer_key_file`.",
-    },
-    Field {
-        name: "peer_key_file",
-        form: Form::File,
-        unit: "",
-        default: Preset::Absent,
-        meaning: "A file with the key's 64 hex digits; give this or `peer_key`.",
-    },
-    Field {
-        name: "log_level",
-        form: Form::Word(LOG_LEVELS),
-        unit: "",
-        default: Preset::Text("info"),
-        meaning: "The least serious lines that are logged.",
-    },
-    Field {
-        name: "log_format",
-        form: Form::Word(LOG_FORMATS),
-        unit: "",
-        default: Preset::Text("json"),
-        meaning: "One JSON object a line, or coloured text for a terminal.",
-    },
+    field("note", Form::Text, Preset::Text(""))
+        .means("A remark for readers of the file; nothing uses it."),
+    field("host", Form::Name, Preset::Required)
+        .starts_from("\"entry-1\"")
+        .means("The published name of this entry host."),
+    field("zone", Form::Name, Preset::Required)
+        .starts_from("\"zone-a\"")
+        .means("The availability zone of this entry host."),
+    field("ip", Form::Ip, Preset::Required)
+        .starts_from("\"127.0.0.1\"")
+        .means("The IP number on which all three ports listen."),
+    field("caller_port", PORT, Preset::Required)
+        .starts_from("7101")
+        .means("The TCP port for callers."),
+    field("operator_port", PORT, Preset::Required)
+        .starts_from("7102")
+        .means("The TCP port for operators' pages and metrics."),
+    field("peer_port", PORT, Preset::Required)
+        .starts_from("7103")
+        .means("The TCP and UDP port for the other entry hosts."),
+    field("platform", Form::Address, Preset::Required)
+        .starts_from("\"127.0.0.1:7000\"")
+        .means("The configuration service, which also publishes the list of live hosts."),
+    field("peers", Form::Addresses, Preset::Empty)
+        .means("Peer ports of other entry hosts, asked when the platform is down at the start."),
+    field("peer_key", Form::Key, Preset::Absent)
+        .means("The key that all entry hosts share; give either this or `peer_key_file`."),
+    field("peer_key_file", Form::File, Preset::Absent)
+        .starts_from("\"peer.key\"")
+        .means("A file that holds the key's 64 hex digits; give either this or `peer_key`."),
+    field("log_level", Form::Word(LOG_LEVELS), Preset::Text("info"))
+        .means("The least serious lines that are logged."),
+    field("log_format", Form::Word(LOG_FORMATS), Preset::Text("json"))
+        .means("One JSON object a line, or coloured text for a terminal."),
     span("heartbeat_ms", 10, 5_000, Tuning::DEFAULT.heartbeat)
         .means("The time between two heartbeats to every peer."),
     span("suspect_ms", 50, 60_000, Tuning::DEFAULT.suspect)
@@ -103,7 +67,7 @@
     span("clock_skew_ms", 0, 60_000, Tuning::DEFAULT.clock_skew)
         .means("How far the wall clocks of callers and entry hosts may differ."),
     number("claim_life_s", 10, 86_400, Tuning::DEFAULT.claim_life.as_secs())
-        .counts("seconds")
+        .counts(SECONDS)
         .means("How long a home remembers an idempotency key."),
     span("orphan_margin_ms", 100, 600_000, Tuning::DEFAULT.orphan_margin)
         .means("How long engines may hold what a silent owner left; at least `suspect_ms`."),
@@ -125,7 +89,7 @@
         .counts("events")
         .means("The events that are kept for the time line."),
     number("stop_bound_s", 1, 86_400, Tuning::DEFAULT.stop_bound.as_secs())
-        .counts("seconds")
+        .counts(SECONDS)
         .means("How long a planned stop waits for its last stream."),
     span("load_poll_ms", 10, 60_000, Tuning::DEFAULT.load_poll)
         .means("The time between two readings of an engine's load."),
@@ -139,16 +103,17 @@
     number("worker_threads", 1, 256, 4).counts("threads").means("The threads that serve HTTP."),
 ];
 
-/// Describes a port, which has no default.
-const fn port(name: &'static str, meaning: &'static str) -> Field {
-    let form = Form::Number { least: 1, most: 65_535 };
-    Field { name, form, unit: "", default: Preset::Required, meaning }
+/// The form of a port.
+const PORT: Form = Form::Number { least: 1, most: 65_535 };
+
+/// Describes a field; the methods below say the rest.
+const fn field(name: &'static str, form: Form, default: Preset) -> Field {
+    Field { name, form, unit: "", default, sample: "", meaning: "" }
 }
 
-/// Describes a number; `counts` and `means` say the rest.
+/// Describes a number.
 const fn number(name: &'static str, least: u64, most: u64, default: u64) -> Field {
-    let form = Form::Number { least, most };
-    Field { name, form, unit: "", default: Preset::Number(default), meaning: "" }
+    field(name, Form::Number { least, most }, Preset::Number(default))
 }
 
 /// Describes a time span in milliseconds.
@@ -163,6 +128,12 @@
         self
     }
 
+    /// Sets the sample.
+    const fn starts_from(mut self, sample: &'static str) -> Field {
+        self.sample = sample;
+        self
+    }
+
     /// Sets the meaning.
     const fn means(mut self, meaning: &'static str) -> Field {
         self.meaning = meaning;
