--- a/lib/src/state/outcome.rs
+++ b/lib/src/state/outcome.rs
@@ -74,6 +74,29 @@
 }
 
 impl Reason {
+    /// All reasons.
+    pub const ALL: [Reason; 19] = [
+        Reason::RateLimit,
+        Reason::InFlightLimit,
+        Reason::FairShare,
+        Reason::DeadlineTooShort,
+        Reason::DeadlinePassed,
+        Reason::NoConfiguration,
+        Reason::NoTarget,
+        Reason::PromptTooLong,
+        Reason::MemoryFull,
+        Reason::Overloaded,
+        Reason::Stopping,
+        Reason::TargetFailed,
+        Reason::RetryBudget,
+        Reason::HomeUnavailable,
+        Reason::KeyTooOld,
+        Reason::CopyRunning,
+        Reason::KeyReused,
+        Reason::CallerGone,
+        Reason::ResumeUnknown,
+    ];
+
     /// Returns the label that metrics and JSON use.
     ///
     /// ```
--- /dev/null
+++ b/lib/tests/test_peer_links.rs
@@ -0,0 +1,337 @@
+//! Links between entry hosts over real sockets: what gets through, what is dropped, and that a
+//! peer that stops reading holds up nobody.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::time::Duration;
+use std::time::Instant;
+
+use crossbeam_channel::Receiver;
+use crossbeam_channel::unbounded;
+use slog::Discard;
+use slog::Logger;
+use slog::o;
+use wasabicrank_lib::coordination::*;
+use wasabicrank_lib::protocol::*;
+use wasabicrank_lib::state::*;
+use wasabicrank_lib::transport::*;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+const MAX_FRAME: usize = 256 * 1024;
+const RING: usize = 32;
+const KEY: [u8; 32] = [7; 32];
+const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+struct Host {
+    links: PeerLinks,
+    inbox: Receiver<Envelope>,
+    name: HostName,
+}
+
+impl Host {
+    fn start(name: &str, key: [u8; 32]) -> Host {
+        let (sink, inbox) = unbounded();
+        let settings = PeerLinksSettings {
+            listen: LOOPBACK,
+            host: HostName::new(name),
+            incarnation: Incarnation(11),
+            key,
+            max_frame: MAX_FRAME,
+            ring: RING,
+        };
+        let log = Logger::root(Discard, o!());
+        let links = PeerLinks::start(settings, move |e| sink.send(e).unwrap(), log).unwrap();
+        Host { links, inbox, name: HostName::new(name) }
+    }
+
+    fn addr(&self) -> PeerAddress {
+        PeerAddress { host: self.name.clone(), addr: self.links.local_addr() }
+    }
+
+    fn dropped(&self, cause: DropCause) -> u64 {
+        self.links.counters().dropped(cause)
+    }
+
+    fn next(&self) -> Envelope {
+        self.inbox.recv_timeout(PATIENCE).unwrap()
+    }
+}
+
+fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "waited in vain until {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn pull(have: u64) -> PeerMessage {
+    PeerMessage::ConfigPull(ConfigPull { have, have_hash: 0 })
+}
+
+fn call(len: usize) -> PeerMessage {
+    let request = RequestId { origin: Incarnation(1), seq: 1 };
+    let reply = ServiceReply { status: 200, media: None, body: vec![1; len].into() };
+    PeerMessage::Answer(Box::new(CallAnswer { request, result: Ok(reply) }))
+}
+
+fn sender(incarnation: u64, started: u64) -> Sender {
+    let host = HostName::new("entry-1");
+    Sender { host, incarnation: Incarnation(incarnation), started: WallTime(started) }
+}
+
+/// Connects by hand as `sender` and says hello with `key`.
+fn greet(to: &Host, sender: Sender, key: [u8; 32]) -> (TcpStream, FrameSender, Vec<u8>) {
+    let mut stream = TcpStream::connect(to.links.local_addr()).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut challenge = [0; CHALLENGE_BYTES];
+    stream.read_exact(&mut challenge).unwrap();
+    let nonce = decode_challenge(challenge).unwrap();
+    let mut frames = FrameSender::new(&FleetKey::new(key), sender, &to.name, nonce);
+    let hello = frames.hello(LinkKind::Control, Nonce([5; NONCE_BYTES])).unwrap();
+    stream.write_all(&hello).unwrap();
+    (stream, frames, hello)
+}
+
+fn welcome(stream: &mut TcpStream) -> bool {
+    stream.read_exact(&mut [0; TAG_BYTES]).is_ok()
+}
+
+/// A host that knows a peer `entry-1`, which the test plays itself.
+fn host_that_knows_entry_1() -> Host {
+    let host = Host::start("entry-2", KEY);
+    let unreachable =
+        PeerAddress { host: HostName::new("entry-1"), addr: ([127, 0, 0, 1], 1).into() };
+    host.links.set_peers(&[unreachable]).unwrap();
+    host
+}
+
+#[test]
+fn messages_arrive_over_both_links() {
+    let (a, b) = (Host::start("entry-1", KEY), Host::start("entry-2", KEY));
+    let published = [a.addr(), b.addr()];
+    a.links.set_peers(&published).unwrap();
+    b.links.set_peers(&published).unwrap();
+    wait_until("both are connected", || {
+        a.links.is_connected(&b.name) && b.links.is_connected(&a.name)
+    });
+    for message in [pull(1), call(100_000)] {
+        a.links.send(&b.name, &message).unwrap();
+        let from = a.name.clone();
+        assert_eq!(b.next(), Envelope { from, incarnation: Incarnation(11), message });
+    }
+    wait_until("both sides have counted the same", || {
+        let (sent, received) = (a.links.counters(), b.links.counters());
+        (sent.control.messages_out, sent.work.messages_out) == (1, 1)
+            && sent.control.bytes_out == received.control.bytes_in
+            && sent.work.bytes_out == received.work.bytes_in
+    });
+    a.links.stop();
+    b.links.stop();
+}
+
+#[test]
+fn link_comes_back_after_the_peer_restarts() {
+    let (a, b) = (Host::start("entry-1", KEY), Host::start("entry-2", KEY));
+    let published = [a.addr(), b.addr()];
+    a.links.set_peers(&published).unwrap();
+    b.links.set_peers(&published).unwrap();
+    wait_until("a is connected", || a.links.is_connected(&b.name));
+    let name = b.name.clone();
+    b.links.stop();
+    wait_until("a has noticed without sending", || !a.links.is_connected(&name));
+    assert_eq!(a.links.send(&name, &pull(1)), Err(SendRefused::NotConnected));
+    let b = Host::start("entry-2", KEY);
+    let published = [a.addr(), b.addr()];
+    a.links.set_peers(&published).unwrap();
+    b.links.set_peers(&published).unwrap();
+    wait_until("a is connected again", || a.links.is_connected(&b.name));
+    a.links.send(&b.name, &pull(2)).unwrap();
+    assert_eq!(b.next().message, pull(2));
+}
+
+#[test]
+fn unknown_peer_and_long_message_are_refused() {
+    let (a, b) = (Host::start("entry-1", KEY), Host::start("entry-2", KEY));
+    assert_eq!(a.links.send(&b.name, &pull(1)), Err(SendRefused::UnknownPeer));
+    let published = [a.addr(), b.addr()];
+    a.links.set_peers(&published).unwrap();
+    b.links.set_peers(&published).unwrap();
+    wait_until("a is connected", || a.links.is_connected(&b.name));
+    assert_eq!(a.links.send(&b.name, &call(MAX_FRAME)), Err(SendRefused::TooLong));
+    assert_eq!(a.dropped(DropCause::UnknownPeer), 1);
+    assert_eq!(a.dropped(DropCause::Oversize), 1);
+}
+
+#[test]
+fn wrong_key_is_dropped_and_counted() {
+    let (a, b) = (Host::start("entry-1", [8; 32]), Host::start("entry-2", KEY));
+    let published = [a.addr(), b.addr()];
+    b.links.set_peers(&published).unwrap();
+    a.links.set_peers(&published).unwrap();
+    wait_until("the wrong key is counted", || b.dropped(DropCause::BadTag) >= 2);
+    assert!(!a.links.is_connected(&b.name));
+    assert!(b.inbox.is_empty());
+}
+
+#[test]
+fn sender_that_is_not_published_is_dropped_and_counted() {
+    let host = Host::start("entry-2", KEY);
+    let (mut stream, ..) = greet(&host, sender(1, 1), KEY);
+    assert!(!welcome(&mut stream));
+    wait_until("it is counted", || host.dropped(DropCause::UnknownSender) == 1);
+}
+
+#[test]
+fn replayed_hello_and_frame_are_dropped_and_counted() {
+    let host = host_that_knows_entry_1();
+    let (mut stream, mut frames, hello) = greet(&host, sender(1, 1), KEY);
+    assert!(welcome(&mut stream));
+    let frame = frames.seal(&encode_message(&pull(1)).unwrap()).unwrap();
+    stream.write_all(&frame).unwrap();
+    assert_eq!(host.next().message, pull(1));
+
+    let mut replayed = TcpStream::connect(host.links.local_addr()).unwrap();
+    replayed.write_all(&[hello, frame.clone()].concat()).unwrap();
+    wait_until("the replayed stream is counted", || host.dropped(DropCause::BadTag) == 1);
+
+    stream.write_all(&frame).unwrap();
+    wait_until("the replayed frame is counted", || host.dropped(DropCause::Replayed) == 1);
+    assert!(host.inbox.is_empty());
+}
+
+#[test]
+fn old_incarnation_is_dropped_and_counted() {
+    let host = host_that_knows_entry_1();
+    let (mut old, mut old_frames, _) = greet(&host, sender(1, 100), KEY);
+    assert!(welcome(&mut old));
+    let mut new = TcpStream::connect(host.links.local_addr()).unwrap();
+    let mut challenge = [0; CHALLENGE_BYTES];
+    new.read_exact(&mut challenge).unwrap();
+    let nonce = decode_challenge(challenge).unwrap();
+    let mut frames = FrameSender::new(&FleetKey::new(KEY), sender(2, 200), &host.name, nonce);
+    // On the other kind of link, so that the old connection is not closed as replaced.
+    let hello = frames.hello(LinkKind::Work, Nonce([5; NONCE_BYTES])).unwrap();
+    new.write_all(&hello).unwrap();
+    assert!(welcome(&mut new));
+
+    old.write_all(&old_frames.seal(&encode_message(&pull(1)).unwrap()).unwrap()).unwrap();
+    wait_until("the old frame is counted", || host.dropped(DropCause::OldIncarnation) == 1);
+    let (mut again, ..) = greet(&host, sender(1, 100), KEY);
+    assert!(!welcome(&mut again));
+    wait_until("the old hello is counted", || host.dropped(DropCause::OldIncarnation) == 2);
+    assert!(host.inbox.is_empty());
+}
+
+struct Garbage {
+    name: &'static str,
+    bytes: fn(&mut FrameSender) -> Vec<u8>,
+    cause: DropCause,
+}
+
+const GARBAGE: [Garbage; 3] = [
+    Garbage {
+        name: "an oversize length",
+        bytes: |_| (MAX_FRAME as u32 + 1).to_le_bytes().to_vec(),
+        cause: DropCause::Oversize,
+    },
+    Garbage {
+        name: "a message of another version",
+        bytes: |frames| frames.seal(&[99, 1, 2]).unwrap(),
+        cause: DropCause::UnknownVersion,
+    },
+    Garbage {
+        name: "a payload that is no message",
+        bytes: |frames| frames.seal(&[MESSAGE_VERSION, 255, 255]).unwrap(),
+        cause: DropCause::Malformed,
+    },
+];
+
+#[test]
+fn garbage_is_dropped_and_counted() {
+    for garbage in GARBAGE {
+        let host = host_that_knows_entry_1();
+        let (mut stream, mut frames, _) = greet(&host, sender(1, 1), KEY);
+        assert!(welcome(&mut stream));
+        stream.write_all(&(garbage.bytes)(&mut frames)).unwrap();
+        wait_until(garbage.name, || host.dropped(garbage.cause) == 1);
+        assert!(host.inbox.is_empty());
+    }
+}
+
+#[test]
+fn oversize_hello_is_dropped_before_it_is_read() {
+    let host = host_that_knows_entry_1();
+    let mut stream = TcpStream::connect(host.links.local_addr()).unwrap();
+    stream.write_all(&(MAX_FRAME as u32).to_le_bytes()).unwrap();
+    wait_until("it is counted", || host.dropped(DropCause::Oversize) == 1);
+}
+
+#[test]
+fn silent_connections_are_bounded_and_closed() {
+    let host = host_that_knows_entry_1();
+    let connect = || TcpStream::connect(host.links.local_addr()).unwrap();
+    let _silent: Vec<_> = (0..100).map(|_| connect()).collect();
+    wait_until("the surplus is counted", || host.dropped(DropCause::TooManyPending) > 0);
+    wait_until("the rest ran out of time", || host.dropped(DropCause::HelloTimeout) > 0);
+    wait_until("a peer can come in again", || {
+        let (mut stream, ..) = greet(&host, sender(1, 1), KEY);
+        welcome(&mut stream)
+    });
+}
+
+/// Plays a peer that welcomes both links of `a` and then reads only the control link.
+fn frozen_work_peer(listener: &TcpListener) -> Vec<TcpStream> {
+    let name = HostName::new("entry-2");
+    let mut streams = Vec::new();
+    for _ in 0..2 {
+        let (mut stream, _) = listener.accept().unwrap();
+        let nonce = Nonce([9; NONCE_BYTES]);
+        stream.write_all(&encode_challenge(nonce)).unwrap();
+        let mut prefix = [0; LENGTH_BYTES];
+        stream.read_exact(&mut prefix).unwrap();
+        let mut frame = vec![0; frame_len(prefix, MAX_HELLO_BYTES).unwrap()];
+        stream.read_exact(&mut frame).unwrap();
+        let side = FrameListener::new(&FleetKey::new(KEY), &name, nonce);
+        let (hello, frames) = side.accept(&frame).unwrap();
+        stream.write_all(&frames.welcome(&hello)).unwrap();
+        let position = if hello.kind == LinkKind::Control { 0 } else { streams.len() };
+        streams.insert(position, stream);
+    }
+    streams
+}
+
+#[test]
+fn frozen_reader_blocks_neither_sender_nor_control() {
+    let a = Host::start("entry-1", KEY);
+    let listener = TcpListener::bind(LOOPBACK).unwrap();
+    let frozen =
+        PeerAddress { host: HostName::new("entry-2"), addr: listener.local_addr().unwrap() };
+    let name = frozen.host.clone();
+    a.links.set_peers(&[frozen]).unwrap();
+    let mut streams = frozen_work_peer(&listener);
+    wait_until("a is connected", || a.links.is_connected(&name));
+
+    let mut slowest = Duration::ZERO;
+    let mut refused = 0;
+    while refused < 100 {
+        let began = Instant::now();
+        refused += u32::from(a.links.send(&name, &call(200_000)).is_err());
+        slowest = slowest.max(began.elapsed());
+    }
+    assert!(slowest < Duration::from_millis(500), "a send took {slowest:?}");
+    assert!(a.dropped(DropCause::RingFull) > 0);
+
+    a.links.send(&name, &pull(1)).unwrap();
+    let mut prefix = [0; LENGTH_BYTES];
+    streams[0].set_read_timeout(Some(PATIENCE)).unwrap();
+    streams[0].read_exact(&mut prefix).unwrap();
+    wait_until("the frozen link is given up", || a.dropped(DropCause::ConnectionLost) > 0);
+    let began = Instant::now();
+    a.links.stop();
+    assert!(began.elapsed() < Duration::from_secs(6), "stop took {:?}", began.elapsed());
+}
