--- /dev/null
+++ b/lib/src/coordination/node/calls.rs
@@ -0,0 +1,331 @@
+//! Calls to plain services: those that may be repeated, and those that run at most once.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::IteratorRandom;
+
+use super::Node;
+use super::completions::not_run;
+use super::io::AnswerPiece;
+use super::io::CallForm;
+use super::io::CallerTicket;
+use super::io::Output;
+use super::io::Rejection;
+use super::io::ServiceFailure;
+use super::io::ServiceReport;
+use crate::coordination::CallResult;
+use crate::coordination::ForwardedCall;
+use crate::coordination::HomeOutput;
+use crate::state::CallKey;
+use crate::state::CustomerName;
+use crate::state::Event;
+use crate::state::Moment;
+use crate::state::Now;
+use crate::state::Outcome;
+use crate::state::Reason;
+use crate::state::Refusal;
+use crate::state::RequestId;
+use crate::state::ServiceCall;
+use crate::state::ServiceName;
+use crate::state::ServiceReply;
+use crate::state::TargetState;
+
+/// The most processes of a service that one call is tried at.
+const MAX_TRIES: u32 = 3;
+
+/// When a caller may come back to a service of which no process takes calls.
+const NO_SERVICE_RETRY: Duration = Duration::from_secs(5);
+
+/// A call of a caller of this entry host.
+#[derive(Debug)]
+struct OpenCall {
+    ticket: CallerTicket,
+    customer: CustomerName,
+}
+
+/// A call that this entry host has sent to a service.
+#[derive(Debug)]
+struct SentCall {
+    call: ServiceCall,
+    deadline: Moment,
+    tries: u32,
+    tried: Vec<SocketAddr>,
+    duty: Duty,
+}
+
+/// On whose behalf a call was sent, which decides what a failure means.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Duty {
+    /// It may be repeated.
+    Repeatable,
+    /// It has no key, so there is no copy of it; it is not sent again once a byte was written.
+    Once,
+    /// This entry host is the home of its key.
+    Home(CallKey),
+}
+
+/// The calls that are open at this entry host.
+#[derive(Debug, Default)]
+pub(super) struct CallTable {
+    open: HashMap<RequestId, OpenCall>,
+    tickets: HashMap<CallerTicket, RequestId>,
+    sent: HashMap<RequestId, SentCall>,
+}
+
+impl CallTable {
+    /// Forgets a caller that went away; its call goes on.
+    pub(super) fn forget_caller(&mut self, ticket: CallerTicket) {
+        self.tickets.remove(&ticket);
+    }
+
+    /// Returns how many calls have no answer yet.
+    pub(super) fn len(&self) -> usize {
+        self.open.len() + self.sent.len()
+    }
+}
+
+impl Node {
+    /// Takes a call of a caller.
+    pub(super) fn on_call(&mut self, now: Now, ticket: CallerTicket, form: CallForm) {
+        let id = self.next_id();
+        if let Some(refusal) = self.closed() {
+            self.refuse_new(ticket, id, refusal);
+            return;
+        }
+        let Some(customer) = self.customer_of(form.token_hash) else {
+            self.answer(ticket, AnswerPiece::Rejected(Rejection::UnknownCustomer));
+            return;
+        };
+        let Some((call, span)) = self.route_call(now.mono, id, &customer, &form) else {
+            self.answer(ticket, AnswerPiece::Rejected(Rejection::UnknownPath));
+            return;
+        };
+        if let Err(refusal) = self.limits.admit(now.mono, &customer, 1) {
+            self.refuse_new(ticket, id, refusal);
+            return;
+        }
+        self.answer(ticket, AnswerPiece::Accepted(id));
+        self.note(Event::Admitted { request: id, prompt_tokens: 0, deadline: span });
+        self.calls.tickets.insert(ticket, id);
+        self.calls.open.insert(id, OpenCall { ticket, customer });
+        self.start_call(now, call, span);
+    }
+
+    /// Finds the service that a path leads to and makes the call for it.
+    fn route_call(
+        &self,
+        now: Moment,
+        id: RequestId,
+        customer: &CustomerName,
+        form: &CallForm,
+    ) -> Option<(ServiceCall, Duration)> {
+        let (path, query) = match form.path.split_once('?') {
+            Some((path, query)) => (path, Some(query)),
+            None => (form.path.as_ref(), None),
+        };
+        let (service, rule, below) = self.rules.route(path)?;
+        let below = if below.is_empty() { "/" } else { below };
+        let repeatable = rule.is_repeatable(&form.method, below);
+        let target = match query {
+            Some(query) => Arc::from(format!("{below}?{query}")),
+            None => Arc::from(below),
+        };
+        let span = form.deadline.unwrap_or(rule.deadline);
+        let call = ServiceCall {
+            id,
+            customer: customer.clone(),
+            service: service.clone(),
+            method: form.method.clone(),
+            path: target,
+            body: form.body.clone(),
+            media: form.media.clone(),
+            repeatable,
+            key: form.key,
+            deadline: now + span,
+        };
+        Some((call, span))
+    }
+
+    fn start_call(&mut self, now: Now, call: ServiceCall, span: Duration) {
+        if call.repeatable {
+            self.retries.first_try(now.mono);
+            self.send_call(now, SentCall::new(call, now.mono + span, Duty::Repeatable));
+            return;
+        }
+        if call.key.is_none() {
+            self.send_call(now, SentCall::new(call, now.mono + span, Duty::Once));
+            return;
+        }
+        let forwarded = ForwardedCall { call, left: span };
+        let outputs = self.homes.on_call(now, &self.members, forwarded);
+        self.do_home(now, outputs);
+    }
+
+    /// Carries out what the homes want done.
+    pub(super) fn do_home(&mut self, now: Now, outputs: Vec<HomeOutput>) {
+        for output in outputs {
+            match output {
+                HomeOutput::Send { to, message } => {
+                    self.note_forward(&to, &message);
+                    self.send(&to, message);
+                }
+                HomeOutput::Run(forwarded) => self.run_as_home(now, *forwarded),
+                HomeOutput::Reply { request, result } => self.end_call(now.mono, request, result),
+                HomeOutput::Event(event) => self.note(event),
+            }
+        }
+    }
+
+    fn note_forward(
+        &mut self,
+        to: &crate::state::HostName,
+        message: &crate::coordination::PeerMessage,
+    ) {
+        if let crate::coordination::PeerMessage::Forward(forwarded) = message {
+            let request = forwarded.call.id;
+            self.note(Event::CallForwarded { request, home: to.clone() });
+        }
+    }
+
+    fn run_as_home(&mut self, now: Now, forwarded: ForwardedCall) {
+        let ForwardedCall { call, left } = forwarded;
+        let Some(key) = call.key else { return };
+        self.send_call(now, SentCall::new(call, now.mono + left, Duty::Home(key)));
+    }
+
+    /// Sends a call to a process of its service that it was not tried at.
+    ///
+    /// The lease of a home is checked here, after the last wait of the core. A process that freezes
+    /// between this and the first byte still sends the only copy, since a later home does not run
+    /// keys that are as old as its lease.
+    fn send_call(&mut self, now: Now, mut sent: SentCall) {
+        let left = sent.deadline.since(now.mono);
+        let Some(addr) = self.choose_service(&sent.call.service, &sent.tried) else {
+            self.end_sent(now, sent, Err(ServiceFailure::NotSent));
+            return;
+        };
+        if left.is_zero() {
+            self.end_sent(now, sent, Err(ServiceFailure::NotSent));
+            return;
+        }
+        if let Duty::Home(key) = sent.duty
+            && !self.homes.may_send(now, key)
+        {
+            self.end_sent(now, sent, Err(ServiceFailure::NotSent));
+            return;
+        }
+        sent.tries += 1;
+        sent.tried.push(addr);
+        let call = sent.call.clone();
+        self.note(Event::CallSent { request: call.id, target: addr.to_string() });
+        self.calls.sent.insert(call.id, sent);
+        self.emit(Output::SendCall { addr, call, left });
+    }
+
+    /// Chooses a live process of a service, in this zone if there is one.
+    fn choose_service(&mut self, service: &ServiceName, tried: &[SocketAddr]) -> Option<SocketAddr> {
+        let usable = self.list.services.iter().filter(|host| {
+            let fits = host.service == *service && !tried.contains(&host.addr);
+            fits && self.targets.takes_work(host.addr)
+        });
+        let usable: Vec<_> = usable.map(|host| (host.zone == self.zone, host.addr)).collect();
+        let near = usable.iter().filter(|(near, _)| *near).choose(&mut self.rng);
+        let chosen = near.or_else(|| usable.iter().choose(&mut self.rng));
+        chosen.map(|(_, addr)| *addr)
+    }
+
+    /// Takes a service's answer, or its absence.
+    pub(super) fn on_service(&mut self, now: Now, report: ServiceReport) {
+        let Some(sent) = self.calls.sent.remove(&report.request) else { return };
+        if report.leaving {
+            self.see_target(now.mono, report.addr, Some(TargetState::Leaving));
+        }
+        if report.result == Err(ServiceFailure::NotSent) {
+            self.see_target(now.mono, report.addr, None);
+        }
+        match report.result {
+            Err(failure) if self.may_repeat(now, &sent, failure) => self.send_call(now, sent),
+            result => self.end_sent(now, sent, result),
+        }
+    }
+
+    /// Tells whether a failed call may be sent to another process of its service.
+    fn may_repeat(&mut self, now: Now, sent: &SentCall, failure: ServiceFailure) -> bool {
+        if sent.tries >= MAX_TRIES || sent.deadline <= now.mono {
+            return false;
+        }
+        let safe = failure == ServiceFailure::NotSent || sent.duty == Duty::Repeatable;
+        if !safe || self.retries.retry(now.mono).is_err() {
+            return false;
+        }
+        if let Duty::Home(key) = sent.duty {
+            self.homes.on_not_connected(key);
+        }
+        true
+    }
+
+    /// Ends a call that was sent or could not be.
+    fn end_sent(
+        &mut self,
+        now: Now,
+        sent: SentCall,
+        result: Result<ServiceReply, ServiceFailure>,
+    ) {
+        let Duty::Home(key) = sent.duty else {
+            let result = result.map_err(|failure| failure_refusal(&sent, failure));
+            self.end_call(now.mono, sent.call.id, result);
+            return;
+        };
+        let result = match result {
+            Ok(reply) => CallResult::Replied(reply),
+            Err(ServiceFailure::NotSent) => CallResult::NotSent,
+            Err(ServiceFailure::Lost) => CallResult::Lost,
+        };
+        let outputs = self.homes.on_result(now, key, result);
+        self.do_home(now, outputs);
+    }
+
+    /// Answers the caller of a call.
+    fn end_call(
+        &mut self,
+        now: Moment,
+        request: RequestId,
+        result: Result<ServiceReply, Refusal>,
+    ) {
+        let Some(open) = self.calls.open.remove(&request) else { return };
+        self.calls.tickets.remove(&open.ticket);
+        self.limits.release(now, &open.customer, 0);
+        match result {
+            Ok(reply) => {
+                self.note(Event::Completed { request, tokens: 0, after: Duration::ZERO });
+                self.answer(open.ticket, AnswerPiece::Reply(reply));
+            }
+            Err(refusal) => {
+                self.note(Event::Refused { request, refusal });
+                self.answer(open.ticket, AnswerPiece::Refused(refusal));
+            }
+        }
+    }
+}
+
+impl SentCall {
+    fn new(call: ServiceCall, deadline: Moment, duty: Duty) -> SentCall {
+        SentCall { call, deadline, tries: 0, tried: Vec::new(), duty }
+    }
+}
+
+/// Says what a failed call that has no home means for its caller.
+fn failure_refusal(sent: &SentCall, failure: ServiceFailure) -> Refusal {
+    match failure {
+        ServiceFailure::NotSent if sent.tries == 0 => {
+            not_run(Reason::NoTarget, Some(NO_SERVICE_RETRY))
+        }
+        ServiceFailure::NotSent => not_run(Reason::TargetFailed, Some(NO_SERVICE_RETRY)),
+        ServiceFailure::Lost => {
+            Refusal { outcome: Outcome::Unknown, reason: Reason::TargetFailed, retry_after: None }
+        }
+    }
+}
