--- a/lib/src/coordination/message.rs
+++ b/lib/src/coordination/message.rs
@@ -17,6 +17,7 @@
 pub use crate::state::Grant;
 use crate::state::HostName;
 use crate::state::Incarnation;
+use crate::state::LiveList;
 use crate::state::Outcome;
 use crate::state::Reason;
 use crate::state::Refusal;
@@ -65,6 +66,31 @@
     Config(Box<ConfigUpdate>),
     /// Tells that a target was seen leaving or refusing connections.
     TargetSeen(TargetSeen),
+    /// Asks for the live list, for a host that the platform does not answer.
+    ListPull(ListPull),
+    /// Brings the live list.
+    List(Box<LiveList>),
+}
+
+impl PeerMessage {
+    /// Tells whether the message is about the fleet rather than about one request.
+    pub fn is_control(&self) -> bool {
+        match self {
+            PeerMessage::Heartbeat(_) | PeerMessage::Lease(_) | PeerMessage::TargetSeen(_) => true,
+            PeerMessage::ConfigPull(_) | PeerMessage::Config(_) => true,
+            PeerMessage::ListPull(_) | PeerMessage::List(_) => true,
+            PeerMessage::Ask(_) | PeerMessage::Grant(_) | PeerMessage::Deny(_) => false,
+            PeerMessage::Withdraw(_) | PeerMessage::FirstToken(_) => false,
+            PeerMessage::Finished(_) | PeerMessage::Forward(_) | PeerMessage::Answer(_) => false,
+        }
+    }
+}
+
+/// Asks for a live list newer than `have`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListPull {
+    /// The version in use at the sender; zero is none.
+    pub have: u64,
 }
 
 /// The periodic report of an entry host.
--- a/lib/src/coordination/node/calls.rs
+++ b/lib/src/coordination/node/calls.rs
@@ -53,6 +53,8 @@
     deadline: Moment,
     tries: u32,
     tried: Vec<SocketAddr>,
+    /// Whether an earlier try may have run.
+    lost: bool,
     duty: Duty,
 }
 
@@ -239,7 +241,8 @@
 
     /// Takes a service's answer, or its absence.
     pub(super) fn on_service(&mut self, now: Now, report: ServiceReport) {
-        let Some(sent) = self.calls.sent.remove(&report.request) else { return };
+        let Some(mut sent) = self.calls.sent.remove(&report.request) else { return };
+        sent.lost |= report.result == Err(ServiceFailure::Lost);
         if report.leaving {
             self.see_target(now.mono, report.addr, Some(TargetState::Leaving));
         }
@@ -313,12 +316,16 @@
 
 impl SentCall {
     fn new(call: ServiceCall, deadline: Moment, duty: Duty) -> SentCall {
-        SentCall { call, deadline, tries: 0, tried: Vec::new(), duty }
+        SentCall { call, deadline, tries: 0, tried: Vec::new(), lost: false, duty }
     }
 }
 
 /// Says what a failed call that has no home means for its caller.
 fn failure_refusal(sent: &SentCall, failure: ServiceFailure) -> Refusal {
+    if sent.lost {
+        let reason = Reason::TargetFailed;
+        return Refusal { outcome: Outcome::Unknown, reason, retry_after: None };
+    }
     match failure {
         ServiceFailure::NotSent if sent.tries == 0 => {
             not_run(Reason::NoTarget, Some(NO_SERVICE_RETRY))
--- /dev/null
+++ b/lib/src/coordination/node/control.rs
@@ -0,0 +1,365 @@
+//! Time, gossip, the platform's publications and the planned stop.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::Node;
+use super::io::Output;
+use super::io::PeerAddr;
+use super::io::PublishedConfig;
+use super::io::ReadFailure;
+use crate::coordination::ConfigOutput;
+use crate::coordination::Envelope;
+use crate::coordination::Heartbeat;
+use crate::coordination::PeerMessage;
+use crate::coordination::Sender;
+use crate::state::Event;
+use crate::state::HostName;
+use crate::state::LiveList;
+use crate::state::Moment;
+use crate::state::Now;
+use crate::state::TargetState;
+
+/// How often running requests are looked at for lost asks and silent streams.
+const SWEEP: Duration = Duration::from_millis(100);
+
+/// The shortest wait after a failed read of the live list.
+const READ_PAUSE: Duration = Duration::from_millis(500);
+
+/// The longest wait after failed reads of the live list.
+const READ_PAUSE_MAX: Duration = Duration::from_secs(8);
+
+/// How long a stopping host still waits for heartbeats to tell its peers before it may end.
+const STOP_NOTICE: Duration = Duration::from_secs(1);
+
+/// The timers of one entry host.
+#[derive(Debug)]
+pub(super) struct Control {
+    seeds: Vec<PeerAddr>,
+    seeded: bool,
+    beat: u64,
+    beat_at: Moment,
+    sweep_at: Moment,
+    reading_live: bool,
+    read_live_at: Moment,
+    failed_reads: u32,
+    stop_at: Option<Moment>,
+}
+
+impl Control {
+    /// Starts the timers; `seeds` are asked for the configuration while no live list is known.
+    pub(super) fn new(seeds: Vec<PeerAddr>, now: Moment) -> Control {
+        Control {
+            seeds,
+            seeded: false,
+            beat: 0,
+            beat_at: now,
+            sweep_at: now,
+            reading_live: false,
+            read_live_at: now,
+            failed_reads: 0,
+            stop_at: None,
+        }
+    }
+
+    /// Tells whether a planned stop has begun.
+    pub(super) fn stopping(&self) -> bool {
+        self.stop_at.is_some()
+    }
+}
+
+impl Node {
+    /// Does what time asks for.
+    pub(super) fn on_tick(&mut self, now: Now) {
+        self.end_overdue(now.mono);
+        for event in self.members.on_tick(now.mono) {
+            self.on_member_event(now.mono, event);
+        }
+        let outputs = self.homes.on_tick(now, &self.members);
+        self.do_home(now, outputs);
+        let outputs = self.config.on_tick(now.mono, &self.members);
+        self.do_config(now, outputs);
+        self.read_live(now.mono);
+        self.poll_engines(now.mono);
+        if now.mono >= self.control.beat_at {
+            self.control.beat_at = now.mono + self.tuning.heartbeat;
+            self.heartbeat(now);
+        }
+        if now.mono >= self.control.sweep_at {
+            self.control.sweep_at = now.mono + SWEEP;
+            self.repeat_asks(now.mono);
+            self.end_silent_streams(now.mono);
+            self.refresh_dispatch(now.mono);
+        }
+        self.end_stop(now);
+    }
+
+    fn on_member_event(&mut self, now: Moment, event: Event) {
+        if let Event::PeerSuspected { peer } = &event {
+            self.limits.peer_gone(peer);
+        }
+        self.note(event);
+        self.refresh_dispatch(now);
+    }
+
+    /// Reports to every peer.
+    fn heartbeat(&mut self, now: Now) {
+        self.control.beat += 1;
+        let loads = self.loads();
+        for load in &loads {
+            self.placer.report(now.mono, load.clone());
+        }
+        let status = self.config.status(now.mono);
+        let beat = Heartbeat {
+            beat: self.control.beat,
+            clock: now.wall.0,
+            config: status.version,
+            config_hash: status.hash,
+            list: self.list.version,
+            stopping: self.control.stopping(),
+            engines: loads,
+            usage: self.limits.usage(now.mono),
+            targets: self.targets.report(now.mono),
+            shards: self.homes.held_shards(now),
+        };
+        let peers: Vec<HostName> = self.members.peers().map(|(name, _)| name.clone()).collect();
+        for peer in peers {
+            self.send(&peer, PeerMessage::Heartbeat(Box::new(beat.clone())));
+        }
+    }
+
+    /// Takes a message of a peer whose sender was proved.
+    pub(super) fn on_peer(&mut self, now: Now, envelope: Envelope) {
+        let sender = self.members.check_sender(&envelope.from, envelope.incarnation);
+        let from = &envelope.from;
+        match &envelope.message {
+            PeerMessage::ConfigPull(_) | PeerMessage::Config(_) => {
+                // A host that has no list yet must be able to learn the configuration.
+                let outputs = self.config.on_peer(now.mono, &envelope);
+                self.do_config(now, outputs);
+                return;
+            }
+            PeerMessage::ListPull(pull) => {
+                self.send_list(from, pull.have);
+                return;
+            }
+            PeerMessage::List(list) => {
+                self.take_list(now, list.as_ref().clone());
+                return;
+            }
+            _ if sender != Sender::Current => return,
+            _ => {}
+        }
+        match envelope.message {
+            PeerMessage::Heartbeat(ref beat) => self.on_heartbeat(now, &envelope, beat),
+            PeerMessage::Lease(_) | PeerMessage::Forward(_) | PeerMessage::Answer(_) => {
+                let outputs = self.homes.on_peer(now, &envelope);
+                self.do_home(now, outputs);
+            }
+            PeerMessage::Ask(ask) => self.on_ask(now.mono, envelope.incarnation, *ask),
+            PeerMessage::Grant(grant) => self.on_grant(now.mono, &envelope.from, grant),
+            PeerMessage::Deny(deny) => self.on_deny(now.mono, deny),
+            PeerMessage::Withdraw(withdrawn) => self.on_withdraw(now.mono, &withdrawn),
+            PeerMessage::FirstToken(first) => self.on_first_token(now.mono, &first),
+            PeerMessage::Finished(finished) => self.on_finished(now.mono, &finished),
+            PeerMessage::TargetSeen(seen) => {
+                self.on_target_seen(now.mono, &envelope.from, std::slice::from_ref(&seen));
+            }
+            PeerMessage::ConfigPull(_) | PeerMessage::Config(_) => {}
+            PeerMessage::ListPull(_) | PeerMessage::List(_) => {}
+        }
+    }
+
+    fn on_heartbeat(&mut self, now: Now, envelope: &Envelope, beat: &Heartbeat) {
+        let from = &envelope.from;
+        let stopping = self.members.peer(from).is_some_and(|peer| peer.stopping);
+        let event = self.members.on_heartbeat(now.mono, from, envelope.incarnation, beat);
+        if let Some(event) = event {
+            self.on_member_event(now.mono, event);
+        }
+        if stopping != beat.stopping {
+            self.refresh_dispatch(now.mono);
+        }
+        for load in &beat.engines {
+            self.placer.report(now.mono, load.clone());
+        }
+        self.limits.peer_use(now.mono, from, &beat.usage);
+        self.on_target_seen(now.mono, from, &beat.targets);
+        let outputs = self.config.on_heartbeat(now.mono, from, beat.config, beat.config_hash);
+        self.do_config(now, outputs);
+        if beat.list > self.list.version {
+            let have = self.list.version;
+            self.send(from, PeerMessage::ListPull(crate::coordination::ListPull { have }));
+        }
+    }
+
+    fn on_target_seen(
+        &mut self,
+        now: Moment,
+        from: &HostName,
+        seen: &[crate::coordination::TargetSeen],
+    ) {
+        for event in self.targets.on_peer(now, from, seen) {
+            self.note(event);
+        }
+    }
+
+    /// Notes what this host's own connection to a target showed.
+    pub(super) fn see_target(
+        &mut self,
+        now: Moment,
+        addr: SocketAddr,
+        state: Option<TargetState>,
+    ) {
+        for event in self.targets.see(now, addr, state) {
+            self.note(event);
+        }
+    }
+
+    /// Carries out what the spread of the configuration wants done.
+    fn do_config(&mut self, now: Now, outputs: Vec<ConfigOutput>) {
+        for output in outputs {
+            match output {
+                ConfigOutput::Send { to, message } => self.send(&to, message),
+                ConfigOutput::Read { after } => self.emit(Output::ReadConfig { after }),
+                ConfigOutput::Accepted(rules) => {
+                    self.note(Event::ConfigAccepted { version: rules.version });
+                    self.put_in_force(now.mono, rules);
+                }
+                ConfigOutput::Refused { version, errors } => {
+                    self.note(Event::ConfigRefused { version, errors });
+                }
+            }
+        }
+    }
+
+    /// Takes the configuration service's answer.
+    pub(super) fn on_config_read(
+        &mut self,
+        now: Now,
+        read: Result<Option<PublishedConfig>, ReadFailure>,
+    ) {
+        let outputs = self.config.on_read(now.mono, read);
+        self.do_config(now, outputs);
+    }
+
+    /// Watches the live list.
+    fn read_live(&mut self, now: Moment) {
+        if self.control.reading_live || now < self.control.read_live_at {
+            return;
+        }
+        self.control.reading_live = true;
+        self.emit(Output::ReadLive { after: self.list.version });
+        if !self.control.seeded && !self.control.seeds.is_empty() {
+            self.control.seeded = true;
+            self.emit(Output::SetPeers(self.control.seeds.clone()));
+        }
+    }
+
+    /// Takes the platform's answer to a watch of the live list.
+    pub(super) fn on_live_read(
+        &mut self,
+        now: Now,
+        read: Result<Option<LiveList>, ReadFailure>,
+    ) {
+        self.control.reading_live = false;
+        match read {
+            Ok(list) => {
+                self.control.failed_reads = 0;
+                self.control.read_live_at = now.mono;
+                if let Some(list) = list {
+                    self.take_list(now, list);
+                }
+            }
+            Err(_) => {
+                self.control.failed_reads += 1;
+                let pause = self.read_pause();
+                self.control.read_live_at = now.mono + pause;
+                self.ask_seeds_for_list();
+            }
+        }
+    }
+
+    /// Returns a wait that grows with failures and differs between hosts.
+    fn read_pause(&mut self) -> Duration {
+        let doubled = READ_PAUSE * 2u32.saturating_pow(self.control.failed_reads.min(6));
+        doubled.min(READ_PAUSE_MAX).mul_f64(self.rng.random_range(0.5..1.0))
+    }
+
+    /// Asks the peers of the settings for what they know, while no live list is known.
+    fn ask_seeds_for_list(&mut self) {
+        if self.list.version > 0 {
+            return;
+        }
+        let seeds = self.control.seeds.clone();
+        for seed in seeds {
+            let pull = crate::coordination::ListPull { have: 0 };
+            self.send(&seed.host, PeerMessage::ListPull(pull));
+        }
+    }
+
+    fn send_list(&mut self, to: &HostName, have: u64) {
+        if self.list.version > have {
+            let list = Box::new(self.list.clone());
+            self.send(to, PeerMessage::List(list));
+        }
+    }
+
+    /// Takes a newer live list, from the platform or a peer; an older one is ignored.
+    fn take_list(&mut self, now: Now, list: LiveList) {
+        if list.version <= self.list.version {
+            return;
+        }
+        for gone in self.list.engines.iter().filter(|engine| {
+            !list.engines.iter().any(|listed| listed.name == engine.name)
+        }) {
+            self.placer.forget(&gone.name);
+        }
+        self.members.set_hosts(now.mono, &list);
+        self.targets.set_list(now.mono, &list);
+        let outputs = self.homes.set_hosts(now, &list);
+        let peers = list.entry_hosts.iter().filter(|entry| entry.name != self.host);
+        let peers = peers.map(|entry| PeerAddr { host: entry.name.clone(), addr: entry.peer_addr });
+        let peers = peers.collect();
+        self.list = list;
+        self.emit(Output::SetPeers(peers));
+        self.do_home(now, outputs);
+        self.refresh_dispatch(now.mono);
+    }
+
+    /// Begins the planned stop: no new work, claims handed over, streams to their end.
+    pub(super) fn on_stop(&mut self, now: Now) {
+        if self.control.stopping() {
+            return;
+        }
+        self.control.stop_at = Some(now.mono);
+        self.note(Event::StopBegan);
+        self.members.begin_stop();
+        let outputs = self.homes.begin_stop(now, &self.members);
+        self.do_home(now, outputs);
+        self.heartbeat(now);
+        self.refresh_dispatch(now.mono);
+    }
+
+    /// Ends the process once nothing is left to do, or when the stop has taken as long as it may.
+    fn end_stop(&mut self, now: Now) {
+        let Some(began) = self.control.stop_at else { return };
+        let open = self.running.len() + self.calls.len();
+        let told = now.mono.since(began) >= STOP_NOTICE;
+        let done = told && open == 0 && self.homes.stopped(now, &self.members);
+        let bound = now.mono.since(began) >= self.tuning.stop_bound;
+        if !done && !bound {
+            return;
+        }
+        self.note(Event::StopEnded { cut: u32::try_from(open).unwrap_or(u32::MAX) });
+        self.emit(Output::Stopped);
+    }
+
+    /// Returns the rules in force.
+    pub fn rules(&self) -> &Arc<crate::state::Rules> {
+        &self.rules
+    }
+}
