--- a/lib/src/protocol/peer_wire/heartbeat.rs
+++ b/lib/src/protocol/peer_wire/heartbeat.rs
@@ -161,7 +161,7 @@
 }
 
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-enum WireTargetState {
+pub(crate) enum WireTargetState {
     Live,
     Leaving,
 }
--- a/lib/src/protocol/peer_wire/message.rs
+++ b/lib/src/protocol/peer_wire/message.rs
@@ -21,6 +21,8 @@
 use super::heartbeat::WireHeartbeat;
 use super::heartbeat::WireTarget;
 use super::lease::WireLease;
+use super::list::WireListPull;
+use super::list::WireLiveList;
 
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) enum WireMessage<'a> {
@@ -38,6 +40,8 @@
     ConfigPull(WirePull),
     Config(WireConfig<'a>),
     TargetSeen(WireTarget<'a>),
+    ListPull(WireListPull),
+    List(WireLiveList<'a>),
 }
 
 impl WireMessage<'_> {
@@ -68,6 +72,8 @@
             PeerMessage::ConfigPull(pull) => WireMessage::ConfigPull(pull.into()),
             PeerMessage::Config(update) => WireMessage::Config(update.as_ref().into()),
             PeerMessage::TargetSeen(seen) => WireMessage::TargetSeen(seen.into()),
+            PeerMessage::ListPull(pull) => WireMessage::ListPull(pull.into()),
+            PeerMessage::List(list) => WireMessage::List(list.as_ref().into()),
         }
     }
 }
@@ -90,6 +96,8 @@
             WireMessage::ConfigPull(pull) => PeerMessage::ConfigPull(pull.into()),
             WireMessage::Config(update) => PeerMessage::Config(Box::new(update.try_into()?)),
             WireMessage::TargetSeen(seen) => PeerMessage::TargetSeen(seen.try_into()?),
+            WireMessage::ListPull(pull) => PeerMessage::ListPull(pull.into()),
+            WireMessage::List(list) => PeerMessage::List(Box::new(list.try_into()?)),
         })
     }
 }
--- a/lib/src/protocol/peer_wire/mod.rs
+++ b/lib/src/protocol/peer_wire/mod.rs
@@ -10,6 +10,7 @@
 mod config;
 mod heartbeat;
 mod lease;
+mod list;
 mod limits;
 mod message;
 
--- a/lib/src/transport/peer_links/mod.rs
+++ b/lib/src/transport/peer_links/mod.rs
@@ -287,21 +287,7 @@
 /// assert_eq!(link_kind(&pull), LinkKind::Control);
 /// ```
 pub fn link_kind(message: &PeerMessage) -> LinkKind {
-    match message {
-        PeerMessage::Heartbeat(_)
-        | PeerMessage::Lease(_)
-        | PeerMessage::ConfigPull(_)
-        | PeerMessage::Config(_)
-        | PeerMessage::TargetSeen(_) => LinkKind::Control,
-        PeerMessage::Ask(_)
-        | PeerMessage::Grant(_)
-        | PeerMessage::Deny(_)
-        | PeerMessage::Withdraw(_)
-        | PeerMessage::FirstToken(_)
-        | PeerMessage::Finished(_)
-        | PeerMessage::Forward(_)
-        | PeerMessage::Answer(_) => LinkKind::Work,
-    }
+    if message.is_control() { LinkKind::Control } else { LinkKind::Work }
 }
 
 /// Locks `mutex`; what it guards is whole between any two statements, also after a panic.
