home: add homes of idempotency keys with leases, claims and hand-over

Cause: two copies of a non-idempotent call may reach two entry hosts at any moment; it must run at most once, without shared state.

Change: Homes composes the lease voter and holder, the claims by key, the forwarding side and the planned stop. Leases count from the ask, shorter than the voter's grant, on both clocks; a new holder calls every key made before its tenure plus twice the clock skew unknown, unless a majority says that the holder before named it the successor. LeaseMessage::Ask and Grant get `sets`: while the published entry hosts change, a host needs a majority of every set that may still grant; version numbers alone do not show which sets a peer still needs. Release names the successor's process.

Ruled out: a bare hash of the set (two quick changes let two majorities without a common host arise); pairing by host name only (a restarted successor would pass for the one that has the claims).

--- a/lib/src/coordination/message.rs
+++ b/lib/src/coordination/message.rs
@@ -220,20 +220,31 @@
 /// Messages about leases on shards of idempotency keys.
 #[derive(Debug, Clone, PartialEq)]
 pub enum LeaseMessage {
-    /// Asks a voter for leases on `shards`; `round` pairs the reply with the ask.
-    Ask { round: u64, list: u64, shards: Vec<u16> },
+    /// Asks a voter for leases on `shards`; `round` pairs the reply with the ask, `list` is the
+    /// version of the sender's live list and `sets` the hashes of the entry-host sets of which it
+    /// needs a majority, oldest first. Without shards it only tells of the sets.
+    Ask { round: u64, list: u64, sets: Vec<u64>, shards: Vec<u16> },
     /// A voter's reply: the shards that it grants to the asker. `handed` are those among them whose
     /// holder before the asker, as far as this voter granted, named the asker its successor.
-    Grant { round: u64, list: u64, shards: Vec<u16>, handed: Vec<u16> },
+    Grant { round: u64, list: u64, sets: Vec<u64>, shards: Vec<u16>, handed: Vec<u16> },
     /// Gives up what the sender was granted in rounds up to `round`, so that another can have it at
-    /// once; with a successor, only that host before the grant would have lapsed.
-    Release { round: u64, shards: Vec<u16>, successor: Option<HostName> },
+    /// once; with a successor, only that process before the grant would have lapsed.
+    Release { round: u64, shards: Vec<u16>, successor: Option<Process> },
     /// Hands the claims of a shard over to a new holder during a planned stop.
     HandOver(Box<HandOver>),
     /// Confirms that the claims of a shard arrived.
     HandOverDone { round: u64, shard: u16 },
 }
 
+/// One process of an entry host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Process {
+    /// Its entry host.
+    pub host: HostName,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+}
+
 /// The claims of one shard on their way to a new holder.
 #[derive(Debug, Clone, PartialEq)]
 pub struct HandOver {
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -1,9 +1,21 @@
 //! Coordination: what entry hosts agree on without writing shared state.
 
+mod claims;
+pub(crate) mod home;
+mod home_decide;
+mod home_forward;
+mod home_lease;
+mod home_stop;
+pub(crate) mod lease;
+mod lease_sets;
+mod lease_voter;
 pub(crate) mod members;
 pub(crate) mod message;
 pub(crate) mod rendezvous;
 
+pub use home::*;
+pub use lease::SHARDS;
+pub use lease::shard_of;
 pub use members::*;
 pub use message::*;
 pub use rendezvous::first_ranked;
