--- a/lib/src/coordination/node/calls.rs
+++ b/lib/src/coordination/node/calls.rs
@@ -231,7 +231,7 @@
     fn choose_service(&mut self, service: &ServiceName, tried: &[SocketAddr]) -> Option<SocketAddr> {
         let usable = self.list.services.iter().filter(|host| {
             let fits = host.service == *service && !tried.contains(&host.addr);
-            fits && self.targets.takes_work(host.addr)
+            fits && self.takes_work(host.addr)
         });
         let usable: Vec<_> = usable.map(|host| (host.zone == self.zone, host.addr)).collect();
         let near = usable.iter().filter(|(near, _)| *near).choose(&mut self.rng);
--- a/lib/src/coordination/node/completions.rs
+++ b/lib/src/coordination/node/completions.rs
@@ -213,12 +213,17 @@
             let mut candidate =
                 Candidate::new(engine.name.clone(), engine.zone.clone(), engine.memory);
             candidate.role = role.unwrap_or(EngineRole::Any);
-            candidate.live = self.targets.takes_work(engine.addr);
+            candidate.live = self.takes_work(engine.addr);
             candidate
         };
         engines.map(describe).collect()
     }
 
+    fn engine_takes_work(&self, name: &EngineName) -> bool {
+        let engine = self.list.engines.iter().find(|engine| engine.name == *name);
+        engine.is_some_and(|engine| self.takes_work(engine.addr))
+    }
+
     /// Asks the dispatcher of `engine` for leave to start the newest attempt.
     pub(super) fn ask(&mut self, now: Moment, id: RequestId, engine: EngineName) {
         let zone = self.list.engines.iter().find(|e| e.name == engine).map(|e| e.zone.clone());
@@ -365,7 +370,7 @@
         });
         let waiting: Vec<(RequestId, EngineName)> = waiting.collect();
         for (id, engine) in waiting {
-            if self.targets.takes_work_named(&self.list, &engine) {
+            if self.engine_takes_work(&engine) {
                 self.ask(now, id, engine);
             } else {
                 self.withdraw(now, id);
--- a/lib/src/coordination/node/control.rs
+++ b/lib/src/coordination/node/control.rs
@@ -9,13 +9,14 @@
 use super::Node;
 use super::io::Output;
 use super::io::PeerAddr;
-use super::io::PublishedConfig;
 use super::io::ReadFailure;
 use crate::coordination::ConfigOutput;
 use crate::coordination::Envelope;
 use crate::coordination::Heartbeat;
 use crate::coordination::PeerMessage;
 use crate::coordination::Sender;
+use crate::coordination::ServiceAnswer;
+use crate::coordination::TargetHealth;
 use crate::state::Event;
 use crate::state::HostName;
 use crate::state::LiveList;
@@ -93,6 +94,7 @@
             self.repeat_asks(now.mono);
             self.end_silent_streams(now.mono);
             self.refresh_dispatch(now.mono);
+            self.judge_targets(now.mono);
         }
         self.end_stop(now);
     }
@@ -112,17 +114,16 @@
         for load in &loads {
             self.placer.report(now.mono, load.clone());
         }
-        let status = self.config.status(now.mono);
         let beat = Heartbeat {
             beat: self.control.beat,
             clock: now.wall.0,
-            config: status.version,
-            config_hash: status.hash,
+            config: self.config.version(),
+            config_hash: self.config.hash(),
             list: self.list.version,
             stopping: self.control.stopping(),
             engines: loads,
             usage: self.limits.usage(now.mono),
-            targets: self.targets.report(now.mono),
+            targets: self.targets.reports(now.mono),
             shards: self.homes.held_shards(now),
         };
         let peers: Vec<HostName> = self.members.peers().map(|(name, _)| name.clone()).collect();
@@ -136,9 +137,14 @@
         let sender = self.members.check_sender(&envelope.from, envelope.incarnation);
         let from = &envelope.from;
         match &envelope.message {
-            PeerMessage::ConfigPull(_) | PeerMessage::Config(_) => {
-                // A host that has no list yet must be able to learn the configuration.
-                let outputs = self.config.on_peer(now.mono, &envelope);
+            // A host that has no list yet must be able to learn the configuration.
+            PeerMessage::ConfigPull(pull) => {
+                let outputs = self.config.on_pull(from, pull);
+                self.do_config(now, outputs);
+                return;
+            }
+            PeerMessage::Config(update) => {
+                let outputs = self.config.on_update(now.mono, from, update);
                 self.do_config(now, outputs);
                 return;
             }
@@ -175,7 +181,8 @@
 
     fn on_heartbeat(&mut self, now: Now, envelope: &Envelope, beat: &Heartbeat) {
         let from = &envelope.from;
-        let stopping = self.members.peer(from).is_some_and(|peer| peer.stopping);
+        let known = self.members.peer(from).map(|peer| (peer.stopping, peer.incarnation));
+        let stopping = known.is_some_and(|(stopping, _)| stopping);
         let event = self.members.on_heartbeat(now.mono, from, envelope.incarnation, beat);
         if let Some(event) = event {
             self.on_member_event(now.mono, event);
@@ -202,8 +209,11 @@
         from: &HostName,
         seen: &[crate::coordination::TargetSeen],
     ) {
-        for event in self.targets.on_peer(now, from, seen) {
-            self.note(event);
+        for one in seen {
+            self.targets.on_peer_seen(now, from, one);
+        }
+        if !seen.is_empty() {
+            self.judge_targets(now);
         }
     }
 
@@ -214,9 +224,31 @@
         addr: SocketAddr,
         state: Option<TargetState>,
     ) {
-        for event in self.targets.see(now, addr, state) {
+        self.targets.saw(now, &addr.to_string(), state);
+        self.judge_targets(now);
+    }
+
+    /// Works out anew which targets take work, and tells what has changed.
+    fn judge_targets(&mut self, now: Moment) {
+        let events = self.targets.on_tick(now);
+        if events.is_empty() {
+            return;
+        }
+        for event in events {
             self.note(event);
         }
+        self.renew_usable(now);
+    }
+
+    /// Works out anew which targets take new work.
+    pub(super) fn renew_usable(&mut self, now: Moment) {
+        let live = self.targets.all(now).filter(|(_, health)| *health == TargetHealth::Live);
+        self.usable = live.filter_map(|(name, _)| name.parse().ok()).collect();
+    }
+
+    /// Tells whether a target gets new work.
+    pub(super) fn takes_work(&self, addr: SocketAddr) -> bool {
+        self.usable.contains(&addr)
     }
 
     /// Carries out what the spread of the configuration wants done.
@@ -224,25 +256,18 @@
         for output in outputs {
             match output {
                 ConfigOutput::Send { to, message } => self.send(&to, message),
-                ConfigOutput::Read { after } => self.emit(Output::ReadConfig { after }),
-                ConfigOutput::Accepted(rules) => {
-                    self.note(Event::ConfigAccepted { version: rules.version });
-                    self.put_in_force(now.mono, rules);
-                }
-                ConfigOutput::Refused { version, errors } => {
-                    self.note(Event::ConfigRefused { version, errors });
+                ConfigOutput::Watch { after, wait } => {
+                    self.emit(Output::ReadConfig { after, wait });
                 }
+                ConfigOutput::InForce(rules) => self.put_in_force(now.mono, rules),
+                ConfigOutput::Event(event) => self.note(event),
             }
         }
     }
 
     /// Takes the configuration service's answer.
-    pub(super) fn on_config_read(
-        &mut self,
-        now: Now,
-        read: Result<Option<PublishedConfig>, ReadFailure>,
-    ) {
-        let outputs = self.config.on_read(now.mono, read);
+    pub(super) fn on_config_read(&mut self, now: Now, answer: ServiceAnswer) {
+        let outputs = self.config.on_service(now.mono, &self.members, answer);
         self.do_config(now, outputs);
     }
 
@@ -319,7 +344,8 @@
             self.placer.forget(&gone.name);
         }
         self.members.set_hosts(now.mono, &list);
-        self.targets.set_list(now.mono, &list);
+        self.targets.set_list(&list);
+        self.renew_usable(now.mono);
         let outputs = self.homes.set_hosts(now, &list);
         let peers = list.entry_hosts.iter().filter(|entry| entry.name != self.host);
         let peers = peers.map(|entry| PeerAddr { host: entry.name.clone(), addr: entry.peer_addr });
--- a/lib/src/coordination/node/io.rs
+++ b/lib/src/coordination/node/io.rs
@@ -6,6 +6,7 @@
 
 use crate::coordination::Envelope;
 use crate::coordination::PeerMessage;
+use crate::coordination::ServiceAnswer;
 use crate::state::AttemptId;
 use crate::state::CallKey;
 use crate::state::EngineName;
@@ -58,7 +59,7 @@
     /// A plain service answered, or did not.
     Service(ServiceReport),
     /// The configuration service answered a watch, or did not.
-    Config(Result<Option<PublishedConfig>, ReadFailure>),
+    Config(ServiceAnswer),
     /// The platform answered a watch of the live list, or did not.
     Live(Result<Option<LiveList>, ReadFailure>),
     /// An engine answered an order, or did not.
@@ -113,6 +114,8 @@
     ReadConfig {
         /// The version in force; zero is none.
         after: u64,
+        /// How long the service may wait for a newer one.
+        wait: Duration,
     },
     /// Watch the live list for a version above `after`.
     ReadLive {
@@ -412,15 +415,6 @@
     Lost,
 }
 
-/// A configuration as the configuration service gave it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PublishedConfig {
-    /// Its version.
-    pub version: u64,
-    /// The rules' text.
-    pub text: Arc<str>,
-}
-
 /// Why the platform could not be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum ReadFailure {
--- a/lib/src/coordination/node/mod.rs
+++ b/lib/src/coordination/node/mod.rs
@@ -15,8 +15,11 @@
 mod status;
 
 use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
+use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -24,10 +27,11 @@
 pub use status::*;
 
 use crate::coordination::ConfigSpread;
+use crate::coordination::HomeSettings;
 use crate::coordination::Homes;
 use crate::coordination::Members;
 use crate::coordination::PeerMessage;
-use crate::coordination::RulesChecker;
+use crate::coordination::RulesCheck;
 use crate::coordination::Targets;
 use crate::state::CustomerLimits;
 use crate::state::CustomerName;
@@ -38,6 +42,7 @@
 use crate::state::Moment;
 use crate::state::Now;
 use crate::state::Placer;
+use crate::state::PlacerSettings;
 use crate::state::RequestId;
 use crate::state::RetryBudget;
 use crate::state::Rules;
@@ -64,7 +69,7 @@
     /// Peers to ask while no live list is known.
     pub seeds: Vec<PeerAddr>,
     /// Reads and checks a configuration's text.
-    pub checker: Box<dyn RulesChecker>,
+    pub checker: Box<dyn RulesCheck + Send>,
 }
 
 /// The core of one entry host.
@@ -79,6 +84,8 @@
     list: LiveList,
     members: Members,
     targets: Targets,
+    /// The targets that take new work, by address; renewed when a sighting or time changes it.
+    usable: HashSet<SocketAddr>,
     config: ConfigSpread,
     homes: Homes,
     control: Control,
@@ -98,19 +105,26 @@
     pub fn new(now: Now, settings: NodeSettings) -> Node {
         let NodeSettings { host, zone, incarnation, seed, tuning, seeds, checker } = settings;
         let mut rng = SmallRng::seed_from_u64(seed);
+        let homes = HomeSettings {
+            lease: tuning.lease,
+            clock_skew: tuning.clock_skew,
+            claim_life: tuning.claim_life,
+            ..HomeSettings::default()
+        };
         Node {
             members: Members::new(host.clone(), zone.clone(), tuning.suspect, now.mono),
-            targets: Targets::new(host.clone(), now.mono),
-            config: ConfigSpread::new(&host, &tuning, checker, &mut rng, now.mono),
-            homes: Homes::new(host.clone(), incarnation, &tuning, &mut rng, now),
+            targets: Targets::new(host.clone()),
+            config: ConfigSpread::new(checker, rng.random(), now.mono),
+            homes: Homes::new(host.clone(), incarnation, homes, rng.random(), now),
             control: Control::new(seeds, now.mono),
-            placer: Placer::new(zone.clone(), &mut rng),
+            placer: Placer::new(PlacerSettings::default(), zone.clone(), rng.random()),
             limits: CustomerLimits::new(),
             retries: RetryBudget::new(now.mono),
             running: RunningTable::default(),
             calls: CallTable::default(),
+            usable: HashSet::new(),
             dispatch: Dispatchers::default(),
-            orders: OrderDesk::new(tuning.weight_loads),
+            orders: OrderDesk::new(now.mono, tuning.weight_loads),
             rules: Arc::default(),
             tokens: HashMap::new(),
             list: LiveList::default(),
--- a/lib/src/coordination/node/status.rs
+++ b/lib/src/coordination/node/status.rs
@@ -138,7 +138,7 @@
             uptime: now.mono.since(Moment::default()),
             ready: self.closed().is_none(),
             stopping: self.control.stopping(),
-            config: self.config.status(now.mono),
+            config: self.config_status(now.mono),
             list: self.list.version,
             open: self.running.len() + self.calls.len(),
             peers: self.peer_status(now.mono),
@@ -148,6 +148,20 @@
         }
     }
 
+    fn config_status(&self, now: Moment) -> ConfigStatus {
+        let refused = self.config.refused().map(|refused| RefusedStatus {
+            version: refused.version,
+            errors: refused.errors.clone(),
+        });
+        let since = self.config.accepted().map_or(now, |accepted| accepted.since);
+        ConfigStatus {
+            version: self.config.version(),
+            hash: self.config.hash(),
+            age: now.since(since),
+            refused,
+        }
+    }
+
     fn peer_status(&self, now: Moment) -> Vec<PeerStatus> {
         let peers = self.members.peers().map(|(host, peer)| PeerStatus {
             host: host.clone(),
@@ -168,7 +182,7 @@
             zone: engine.zone.clone(),
             addr: engine.addr,
             listed: engine.state,
-            takes_work: self.targets.takes_work(engine.addr),
+            takes_work: self.takes_work(engine.addr),
             dispatcher: self.members.dispatcher_of(&engine.name, &engine.zone),
             load: self.load_of(&engine.name),
         });
@@ -177,7 +191,7 @@
             zone: host.zone.clone(),
             addr: host.addr,
             listed: host.state,
-            takes_work: self.targets.takes_work(host.addr),
+            takes_work: self.takes_work(host.addr),
             dispatcher: None,
             load: None,
         });
--- a/lib/src/transport/core_thread.rs
+++ b/lib/src/transport/core_thread.rs
@@ -20,6 +20,7 @@
 use super::engine_client::EngineClient;
 use super::event_log;
 use super::metrics::Metrics;
+use super::peer_links::PeerAddress;
 use super::peer_links::PeerLinks;
 use super::platform_client::PlatformClient;
 use super::ring::CoreMessage;
@@ -223,8 +224,8 @@
             Output::SendCall { addr, call, left } => {
                 runtime.spawn(services.clone().call(addr, call, left));
             }
-            Output::ReadConfig { after } => {
-                runtime.spawn(platform.clone().read_config(after));
+            Output::ReadConfig { after, wait } => {
+                runtime.spawn(platform.clone().read_config(after, wait));
             }
             Output::ReadLive { after } => {
                 runtime.spawn(platform.clone().read_live(after));
@@ -232,7 +233,15 @@
             Output::SendOrder { addr, order } => {
                 runtime.spawn(engines.clone().order(addr, order));
             }
-            Output::SetPeers(peers) => links.set_peers(&peers),
+            Output::SetPeers(peers) => {
+                let addresses: Vec<PeerAddress> = peers
+                    .into_iter()
+                    .map(|peer| PeerAddress { host: peer.host, addr: peer.addr })
+                    .collect();
+                if let Err(error) = links.set_peers(&addresses) {
+                    slog::warn!(self.log, "links to peers could not be opened"; "error" => %error);
+                }
+            }
             Output::Note(event) => {
                 event_log::write(&self.log, &event);
                 self.shown.metrics.observe(&event);
@@ -263,7 +272,7 @@
             return;
         }
         self.snapshot_at = now + SNAPSHOT_EVERY;
-        let status = self.node.status(now);
+        let status = self.node.status(self.now());
         self.shown.healthy.store(status.ready, Ordering::Relaxed);
         self.shown.metrics.record(&status, &self.clients.links.counters(), self.clients.core.shed());
         *lock(&self.shown.status) = Arc::new(status);
--- a/lib/src/transport/platform_client.rs
+++ b/lib/src/transport/platform_client.rs
@@ -8,8 +8,8 @@
 
 use super::ring::CoreSender;
 use crate::coordination::Input;
-use crate::coordination::PublishedConfig;
 use crate::coordination::ReadFailure;
+use crate::coordination::ServiceAnswer;
 use crate::protocol::platform_api::ConfigReply;
 use crate::protocol::platform_api::LiveReply;
 use crate::state::LiveList;
@@ -38,17 +38,21 @@
     }
 
     /// Watches the configuration once.
-    pub(crate) async fn read_config(self, after: u64) {
-        let read = self.watch::<ConfigReply>("config", after).await;
-        let read = read.map(|reply| {
-            reply.map(|reply| PublishedConfig { version: reply.version, text: reply.text.into() })
-        });
-        self.core.send(Input::Config(read)).await;
+    pub(crate) async fn read_config(self, after: u64, wait: Duration) {
+        let answer = match self.watch::<ConfigReply>("config", after, wait).await {
+            Ok(Some(reply)) => {
+                ServiceAnswer::Value { version: reply.version, text: reply.text.into() }
+            }
+            Ok(None) => ServiceAnswer::Unchanged,
+            Err(ReadFailure::RateLimited) => ServiceAnswer::RateLimited,
+            Err(ReadFailure::Down) => ServiceAnswer::Failed,
+        };
+        self.core.send(Input::Config(answer)).await;
     }
 
     /// Watches the live list once.
     pub(crate) async fn read_live(self, after: u64) {
-        let read = self.watch::<LiveReply>("live", after).await;
+        let read = self.watch::<LiveReply>("live", after, self.wait).await;
         let read = read.map(|reply| reply.map(LiveList::from));
         self.core.send(Input::Live(read)).await;
     }
@@ -57,10 +61,11 @@
         &self,
         what: &str,
         after: u64,
+        wait: Duration,
     ) -> Result<Option<T>, ReadFailure> {
-        let wait = self.wait.as_millis();
-        let url = format!("http://{}/{what}?after={after}&wait_ms={wait}", self.addr);
-        let request = self.http.get(url).timeout(self.wait + WATCH_GRACE);
+        let ms = wait.as_millis();
+        let url = format!("http://{}/{what}?after={after}&wait_ms={ms}", self.addr);
+        let request = self.http.get(url).timeout(wait + WATCH_GRACE);
         let response = request.send().await.map_err(|_| ReadFailure::Down)?;
         match response.status() {
             StatusCode::NOT_MODIFIED => Ok(None),
