--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod hash_token;
+mod serve;
 mod settings;
 
 use argh::FromArgs;
@@ -14,6 +15,7 @@
 pub(crate) enum Command {
     Check(check::Check),
     HashToken(hash_token::HashToken),
+    Serve(serve::Serve),
     Settings(settings::PrintSettings),
 }
 
@@ -23,6 +25,7 @@
         match self {
             Command::Check(command) => command.run(),
             Command::HashToken(command) => command.run(),
+            Command::Serve(command) => command.run(),
             Command::Settings(command) => command.run(),
         }
     }
--- a/lib/src/transport/daemon.rs
+++ b/lib/src/transport/daemon.rs
@@ -62,6 +62,12 @@
 /// How long the HTTP servers may take to finish their last responses.
 const HTTP_STOP: Duration = Duration::from_secs(2);
 
+/// How often a stop is tried while the ring into the core is full.
+const STOP_TRIES: u32 = 500;
+
+/// How long to wait before a stop is tried again.
+const STOP_PAUSE: Duration = Duration::from_millis(10);
+
 /// Why an entry host could not start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DaemonError {
@@ -85,6 +91,24 @@
 
 impl Error for DaemonError {}
 
+/// Begins the planned stop of a running entry host.
+pub struct Stopper {
+    core: CoreSender,
+}
+
+impl Stopper {
+    /// Begins the planned stop; repeating it changes nothing.
+    pub fn stop(&self) {
+        // A full ring must not swallow the stop, so it is tried again for a while.
+        for _ in 0..STOP_TRIES {
+            if self.core.try_send(CoreMessage::Input(Input::Stop)).is_ok() {
+                return;
+            }
+            thread::sleep(STOP_PAUSE);
+        }
+    }
+}
+
 /// A running entry host.
 pub struct Daemon {
     core: CoreSender,
@@ -126,15 +150,9 @@
         Ok(daemon)
     }
 
-    /// Begins the planned stop.
-    pub fn stop(&self) {
-        // A full ring is no reason to miss the stop; control inputs have a ring of their own.
-        while self.core.try_send(CoreMessage::Input(Input::Stop)).is_err() {
-            if self.thread.is_finished() {
-                return;
-            }
-            thread::sleep(Duration::from_millis(10));
-        }
+    /// Returns the means to begin the planned stop from another thread.
+    pub fn stopper(&self) -> Stopper {
+        Stopper { core: self.core.clone() }
     }
 
     /// Waits until the planned stop is over, then closes the servers.
@@ -151,11 +169,6 @@
         }
     }
 
-    /// Returns whether the core's thread has ended.
-    pub fn is_finished(&self) -> bool {
-        self.thread.is_finished()
-    }
-
     fn serve_callers(
         &mut self,
         settings: &Settings,
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -1,5 +1,21 @@
 //! Transport: sockets, HTTP, timers and threads; it takes no decisions.
 
+pub(crate) mod caller_response;
+pub(crate) mod caller_stream;
+pub(crate) mod callers;
+pub(crate) mod core_thread;
+pub(crate) mod daemon;
+pub(crate) mod engine_client;
+pub(crate) mod event_log;
+pub(crate) mod logging;
+pub(crate) mod metrics;
+pub(crate) mod operators;
 pub(crate) mod peer_links;
+pub(crate) mod platform_client;
+pub(crate) mod ring;
+pub(crate) mod service_client;
 
+pub use daemon::*;
+pub use logging::make_logger;
+pub use metrics::*;
 pub use peer_links::*;
