config_spread: spread configurations by version, targets: judge targets

Cause: an accepted configuration must be in force everywhere within seconds and never revert; a leaving target must get no new work although the live list lags.

Change: ConfigSpread accepts what is newer and good from the service or a peer, refuses what is bad whole and tells the peers, asks peers first after a start, and paces the calls to the service by zone duty and back-off. Deltas are Myers's shortest edits, bounded. Targets merges the list with sightings; a reporter that calls over a quarter gone is believed about none of them.

Ruled out: corroboration by a second reporter, since a zone that is cut off has two.

--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -1,6 +1,9 @@
 //! Coordination: what entry hosts agree on without writing shared state.
 
 mod claims;
+pub(crate) mod config_spread;
+pub(crate) mod config_spread_delta;
+mod config_spread_reader;
 pub(crate) mod home;
 mod home_decide;
 mod home_forward;
@@ -12,7 +15,10 @@
 pub(crate) mod members;
 pub(crate) mod message;
 pub(crate) mod rendezvous;
+pub(crate) mod targets;
 
+pub use config_spread::*;
+pub use config_spread_delta::*;
 pub use home::*;
 pub use lease::SHARDS;
 pub use lease::shard_of;
@@ -20,3 +26,4 @@
 pub use message::*;
 pub use rendezvous::first_ranked;
 pub use rendezvous::rank;
+pub use targets::*;
