--- a/lib/src/protocol/frame/senders.rs
+++ b/lib/src/protocol/frame/senders.rs
@@ -4,6 +4,8 @@
 //! once a later start of the same host has been heard. Starts are ordered by the wall clock at
 //! which they began. A host whose clock was set back is accepted again once the later start has
 //! been silent for [`SENDER_MEMORY`].
+//!
+//! While no list of entry hosts is known, any host that has the fleet's key is heard.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -26,7 +28,10 @@
     heard: Moment,
 }
 
-/// The latest start heard of each published entry host.
+/// The most hosts that are remembered while no list of entry hosts is known.
+const MAX_UNLISTED: usize = 4096;
+
+/// The latest start heard of each entry host.
 ///
 /// ```
 /// use wasabicrank_lib::protocol::{FrameError, Sender, SenderTable};
@@ -43,6 +48,7 @@
 #[derive(Debug, Default)]
 pub struct SenderTable {
     hosts: HashMap<HostName, Option<Latest>>,
+    listed: bool,
 }
 
 impl SenderTable {
@@ -53,10 +59,14 @@
             let latest = old.remove(&host).flatten();
             self.hosts.insert(host, latest);
         }
+        self.listed = true;
     }
 
     /// Notes that something with a right tag came from `sender`, or says why it is dropped.
     pub fn hear(&mut self, sender: &Sender, now: Moment) -> Result<(), FrameError> {
+        if !self.listed && self.hosts.len() < MAX_UNLISTED {
+            self.hosts.entry(sender.host.clone()).or_default();
+        }
         let slot = self.hosts.get_mut(&sender.host).ok_or(FrameError::UnknownSender)?;
         if let Some(latest) = slot
             && latest.incarnation != sender.incarnation
--- a/lib/src/protocol/frame/session.rs
+++ b/lib/src/protocol/frame/session.rs
@@ -1,8 +1,8 @@
 //! One connection between two entry hosts: challenge, hello, welcome, then numbered frames.
 //!
-//! The receiver sends a challenge with a nonce, the sender answers with a hello that is sealed
-//! under the connection's key, and the receiver's welcome proves that it has the fleet's key too
-//! and is the host that the sender meant. Frames flow one way only, from sender to receiver.
+//! The receiver sends a challenge with a nonce and its name, the sender answers with a hello that
+//! is sealed under the connection's key, and the receiver's welcome proves that it has the fleet's
+//! key too and is the host that it said. Frames flow one way only, from sender to receiver.
 
 use std::fmt;
 
@@ -23,8 +23,8 @@
 
 /// The bytes of a nonce.
 pub const NONCE_BYTES: usize = 16;
-/// The bytes of a challenge: the version and a nonce.
-pub const CHALLENGE_BYTES: usize = 1 + NONCE_BYTES;
+/// The bytes at the start of a challenge: the version, a nonce and the length of the name after it.
+pub const CHALLENGE_BYTES: usize = 1 + NONCE_BYTES + 1;
 
 const SESSION_CONTEXT: &[u8] = b"wasabicrank peer session 1";
 const WELCOME_CONTEXT: &[u8] = b"wasabicrank peer welcome 1";
@@ -114,27 +114,40 @@
     }
 }
 
-/// Returns the challenge that a receiver sends first.
-pub fn encode_challenge(nonce: Nonce) -> [u8; CHALLENGE_BYTES] {
-    let mut challenge = [FRAME_VERSION; CHALLENGE_BYTES];
-    challenge[1..].copy_from_slice(&nonce.0);
-    challenge
+/// What a receiver's challenge starts with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Challenge {
+    /// The receiver's nonce.
+    pub nonce: Nonce,
+    /// The length of the receiver's name, which follows, in bytes.
+    pub name_len: usize,
+}
+
+/// Returns the challenge that `receiver` sends first.
+pub fn encode_challenge(nonce: Nonce, receiver: &HostName) -> Result<Vec<u8>, FrameError> {
+    let name = receiver.as_str().as_bytes();
+    let len = u8::try_from(name.len()).map_err(|_| FrameError::Malformed)?;
+    Ok([&[FRAME_VERSION], &nonce.0[..], &[len], name].concat())
 }
 
-/// Reads a receiver's challenge.
+/// Reads the start of a receiver's challenge.
 ///
 /// ```
-/// use wasabicrank_lib::protocol::{Nonce, decode_challenge, encode_challenge};
-/// let nonce = Nonce([7; 16]);
-/// assert_eq!(decode_challenge(encode_challenge(nonce)), Ok(nonce));
+/// use wasabicrank_lib::protocol::*;
+/// use wasabicrank_lib::state::HostName;
+/// let nonce = Nonce([7; NONCE_BYTES]);
+/// let challenge = encode_challenge(nonce, &HostName::new("entry-2")).unwrap();
+/// let (start, name) = challenge.split_first_chunk::<CHALLENGE_BYTES>().unwrap();
+/// assert_eq!(decode_challenge(start), Ok(Challenge { nonce, name_len: 7 }));
+/// assert_eq!(name, b"entry-2");
 /// ```
-pub fn decode_challenge(challenge: [u8; CHALLENGE_BYTES]) -> Result<Nonce, FrameError> {
-    if challenge[0] != FRAME_VERSION {
-        return Err(FrameError::UnknownVersion(challenge[0]));
+pub fn decode_challenge(start: &[u8; CHALLENGE_BYTES]) -> Result<Challenge, FrameError> {
+    if start[0] != FRAME_VERSION {
+        return Err(FrameError::UnknownVersion(start[0]));
     }
     let mut nonce = [0; NONCE_BYTES];
-    nonce.copy_from_slice(&challenge[1..]);
-    Ok(Nonce(nonce))
+    nonce.copy_from_slice(&start[1..=NONCE_BYTES]);
+    Ok(Challenge { nonce: Nonce(nonce), name_len: start[NONCE_BYTES + 1].into() })
 }
 
 /// The sending side of one connection.
--- a/lib/src/protocol/peer_wire/call.rs
+++ b/lib/src/protocol/peer_wire/call.rs
@@ -70,6 +70,7 @@
         RetryBudget,
         HomeUnavailable,
         KeyTooOld,
+        KeyFromFuture,
         CopyRunning,
         KeyReused,
         CallerGone,
--- a/lib/src/protocol/peer_wire/config.rs
+++ b/lib/src/protocol/peer_wire/config.rs
@@ -1,5 +1,7 @@
 //! The wire form of configurations on their way between peers.
 
+use std::borrow::Cow;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -12,6 +14,7 @@
 use super::limits::List;
 use super::limits::MAX_CONFIG_BYTES;
 use super::limits::MAX_EDITS;
+use super::limits::MAX_LINES;
 use super::limits::bounded;
 use super::limits::convert;
 
@@ -83,23 +86,30 @@
     fn try_from(wire: WireBody<'_>) -> Result<Self, WireError> {
         Ok(match wire {
             WireBody::Whole(text) => ConfigBody::Whole(bounded(text, MAX_CONFIG_BYTES)?.into()),
-            WireBody::Delta { base, edits } => ConfigBody::Delta { base, edits: convert(edits)? },
+            WireBody::Delta { base, edits } => {
+                check_size(&edits.0)?;
+                ConfigBody::Delta { base, edits: convert(edits)? }
+            }
         })
     }
 }
 
+/// Line edits; the inserted lines travel as one text, which takes less memory than many.
 #[derive(Debug, Serialize, Deserialize)]
 struct WireEdit<'a> {
     at: u32,
     remove: u32,
+    lines: u32,
     #[serde(borrow)]
-    insert: List<&'a str, MAX_EDITS>,
+    insert: Cow<'a, str>,
 }
 
 impl<'a> From<&'a LineEdit> for WireEdit<'a> {
     fn from(edit: &'a LineEdit) -> Self {
-        let insert = edit.insert.iter().map(String::as_str).collect();
-        WireEdit { at: edit.at, remove: edit.remove, insert }
+        // A count that does not fit cannot be sent; the receiver refuses what stands for it.
+        let lines = u32::try_from(edit.insert.len()).unwrap_or(u32::MAX);
+        let insert = Cow::Owned(edit.insert.join("\n"));
+        WireEdit { at: edit.at, remove: edit.remove, lines, insert }
     }
 }
 
@@ -107,12 +117,25 @@
     type Error = WireError;
 
     fn try_from(wire: WireEdit<'_>) -> Result<Self, WireError> {
-        let insert: Result<Vec<_>, _> = wire
-            .insert
-            .0
-            .into_iter()
-            .map(|line| bounded(line, MAX_CONFIG_BYTES).map(str::to_owned))
-            .collect();
-        Ok(LineEdit { at: wire.at, remove: wire.remove, insert: insert? })
+        let insert: Vec<_> = match wire.lines {
+            0 => Vec::new(),
+            _ => wire.insert.split('\n').map(str::to_owned).collect(),
+        };
+        let whole = insert.len() == wire.lines as usize;
+        let empty = wire.lines > 0 || wire.insert.is_empty();
+        if !whole || !empty {
+            return Err(WireError::Malformed);
+        }
+        Ok(LineEdit { at: wire.at, remove: wire.remove, insert })
+    }
+}
+
+/// Checks that the edits together insert no more than a whole configuration may have.
+fn check_size(edits: &[WireEdit<'_>]) -> Result<(), WireError> {
+    let found = edits.iter().map(|edit| edit.insert.len()).sum();
+    if found > MAX_CONFIG_BYTES {
+        return Err(WireError::TextTooLong { found, limit: MAX_CONFIG_BYTES });
     }
+    let breaks: usize = edits.iter().map(|edit| edit.insert.matches('\n').count()).sum();
+    if edits.len() + breaks > MAX_LINES { Err(WireError::Malformed) } else { Ok(()) }
 }
--- a/lib/src/protocol/peer_wire/lease.rs
+++ b/lib/src/protocol/peer_wire/lease.rs
@@ -7,6 +7,7 @@
 use crate::coordination::ClaimState;
 use crate::coordination::HandOver;
 use crate::coordination::LeaseMessage;
+use crate::state::HostName;
 
 use super::WireError;
 use super::call::WireKey;
@@ -16,6 +17,7 @@
 use super::limits::MAX_CLAIMS;
 use super::limits::MAX_SHARDS;
 use super::limits::convert;
+use super::limits::name;
 
 type Shards = List<u16, MAX_SHARDS>;
 
@@ -30,13 +32,17 @@
         round: u64,
         list: u64,
         shards: Shards,
+        handed: Shards,
     },
     Release {
+        round: u64,
         shards: Shards,
+        successor: Option<&'a str>,
     },
     #[serde(borrow)]
     HandOver(WireHandOver<'a>),
     HandOverDone {
+        round: u64,
         shard: u16,
     },
 }
@@ -57,12 +63,21 @@
             LeaseMessage::Ask { round, list, shards } => {
                 WireLease::Ask { round: *round, list: *list, shards: List(shards.clone()) }
             }
-            LeaseMessage::Grant { round, list, shards } => {
-                WireLease::Grant { round: *round, list: *list, shards: List(shards.clone()) }
-            }
-            LeaseMessage::Release { shards } => WireLease::Release { shards: List(shards.clone()) },
+            LeaseMessage::Grant { round, list, shards, handed } => WireLease::Grant {
+                round: *round,
+                list: *list,
+                shards: List(shards.clone()),
+                handed: List(handed.clone()),
+            },
+            LeaseMessage::Release { round, shards, successor } => WireLease::Release {
+                round: *round,
+                shards: List(shards.clone()),
+                successor: successor.as_ref().map(HostName::as_str),
+            },
             LeaseMessage::HandOver(hand_over) => WireLease::HandOver(hand_over.as_ref().into()),
-            LeaseMessage::HandOverDone { shard } => WireLease::HandOverDone { shard: *shard },
+            LeaseMessage::HandOverDone { round, shard } => {
+                WireLease::HandOverDone { round: *round, shard: *shard }
+            }
         }
     }
 }
@@ -75,20 +90,24 @@
             WireLease::Ask { round, list, shards } => {
                 LeaseMessage::Ask { round, list, shards: shards.0 }
             }
-            WireLease::Grant { round, list, shards } => {
-                LeaseMessage::Grant { round, list, shards: shards.0 }
+            WireLease::Grant { round, list, shards, handed } => {
+                LeaseMessage::Grant { round, list, shards: shards.0, handed: handed.0 }
+            }
+            WireLease::Release { round, shards, successor } => {
+                let successor = successor.map(name).transpose()?.map(HostName::new);
+                LeaseMessage::Release { round, shards: shards.0, successor }
             }
-            WireLease::Release { shards } => LeaseMessage::Release { shards: shards.0 },
             WireLease::HandOver(hand_over) => {
                 LeaseMessage::HandOver(Box::new(hand_over.try_into()?))
             }
-            WireLease::HandOverDone { shard } => LeaseMessage::HandOverDone { shard },
+            WireLease::HandOverDone { round, shard } => LeaseMessage::HandOverDone { round, shard },
         })
     }
 }
 
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct WireHandOver<'a> {
+    round: u64,
     shard: u16,
     known_since: u64,
     #[serde(borrow)]
@@ -104,6 +123,7 @@
 impl<'a> From<&'a HandOver> for WireHandOver<'a> {
     fn from(hand_over: &'a HandOver) -> Self {
         WireHandOver {
+            round: hand_over.round,
             shard: hand_over.shard,
             known_since: hand_over.known_since,
             claims: hand_over.claims.iter().map(WireClaim::from).collect(),
@@ -116,7 +136,7 @@
 
     fn try_from(wire: WireHandOver<'_>) -> Result<Self, WireError> {
         let claims = convert(wire.claims)?;
-        Ok(HandOver { shard: wire.shard, known_since: wire.known_since, claims })
+        Ok(HandOver { round: wire.round, shard: wire.shard, known_since: wire.known_since, claims })
     }
 }
 
--- a/lib/src/protocol/peer_wire/limits.rs
+++ b/lib/src/protocol/peer_wire/limits.rs
@@ -15,23 +15,27 @@
 use super::WireError;
 
 /// The longest name of a host, engine, customer, model or target, in bytes.
-pub const MAX_NAME_BYTES: usize = 256;
+pub const MAX_NAME_BYTES: usize = 255;
 /// The longest path of a call with its query, in bytes.
 pub const MAX_PATH_BYTES: usize = 8 * 1024;
-/// The longest text of a configuration, or line of one, in bytes.
+/// The longest text of a configuration, or of all lines that a delta inserts, in bytes.
 pub const MAX_CONFIG_BYTES: usize = 1024 * 1024;
 /// The most engines, customers or targets in one heartbeat.
 pub const MAX_REPORTED: usize = 16 * 1024;
 /// The most models that one engine reports.
-pub const MAX_MODELS: usize = 256;
+pub const MAX_MODELS: usize = 64;
 /// The most shards that one message names.
 pub const MAX_SHARDS: usize = 64 * 1024;
 /// The most blocks of one prompt.
 pub const MAX_BLOCKS: usize = 4 * 1024;
 /// The most claims in one hand-over.
 pub const MAX_CLAIMS: usize = 64 * 1024;
-/// The most edits, and the most lines of one edit, in a configuration's delta.
+/// The most edits in a configuration's delta.
 pub const MAX_EDITS: usize = 64 * 1024;
+/// The most lines that all edits of a delta insert together.
+pub const MAX_LINES: usize = 128 * 1024;
+/// The longest message of a kind that brings no body of a call or reply, in bytes.
+pub const MAX_PLAIN_BYTES: usize = MAX_CONFIG_BYTES + 64 * 1024;
 
 /// A list of at most `MAX` items.
 #[derive(Debug, PartialEq)]
--- a/lib/src/protocol/peer_wire/message.rs
+++ b/lib/src/protocol/peer_wire/message.rs
@@ -2,6 +2,8 @@
 //!
 //! The order of variants is part of the format; a new kind goes to the end.
 
+use std::ops::RangeInclusive;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -21,6 +23,7 @@
 use super::heartbeat::WireHeartbeat;
 use super::heartbeat::WireTarget;
 use super::lease::WireLease;
+use super::limits::MAX_PLAIN_BYTES;
 use super::list::WireListPull;
 use super::list::WireLiveList;
 
@@ -44,6 +47,19 @@
     List(WireLiveList<'a>),
 }
 
+/// The place of the kinds that may bring bodies among the variants: lease, forward and answer.
+const KINDS_WITH_BODY: RangeInclusive<u8> = 7..=9;
+
+/// Checks that a message, given without its version, is not longer than its kind may be.
+pub(crate) fn check_len(message: &[u8]) -> Result<(), WireError> {
+    let has_body = message.first().is_some_and(|kind| KINDS_WITH_BODY.contains(kind));
+    let (found, limit) = (message.len(), MAX_PLAIN_BYTES);
+    if found > limit && !has_body {
+        return Err(WireError::BodyTooLong { found, limit });
+    }
+    Ok(())
+}
+
 impl WireMessage<'_> {
     /// Returns the length of the longest body that the message brings, in bytes.
     pub(crate) fn largest_body(&self) -> usize {
--- a/lib/src/protocol/peer_wire/mod.rs
+++ b/lib/src/protocol/peer_wire/mod.rs
@@ -10,8 +10,8 @@
 mod config;
 mod heartbeat;
 mod lease;
-mod list;
 mod limits;
+mod list;
 mod message;
 
 pub use limits::*;
@@ -21,6 +21,7 @@
 use crate::coordination::PeerMessage;
 
 use message::WireMessage;
+use message::check_len;
 
 /// The version of the message format that this build speaks.
 pub const MESSAGE_VERSION: u8 = 1;
@@ -38,7 +39,7 @@
     Trailing(usize),
     /// A text is longer than its limit; both are in bytes.
     TextTooLong { found: usize, limit: usize },
-    /// A body is longer than its limit; both are in bytes.
+    /// A body, or a message without one, is longer than its limit; both are in bytes.
     BodyTooLong { found: usize, limit: usize },
     /// A name is empty.
     EmptyName,
@@ -86,6 +87,7 @@
     if version != MESSAGE_VERSION {
         return Err(WireError::UnknownVersion(version));
     }
+    check_len(rest)?;
     let (wire, rest): (WireMessage<'_>, _) =
         postcard::take_from_bytes(rest).map_err(|_| WireError::Malformed)?;
     if !rest.is_empty() {
--- a/lib/src/state/outcome.rs
+++ b/lib/src/state/outcome.rs
@@ -77,7 +77,7 @@
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Reason; 19] = [
+    pub const ALL: [Reason; 20] = [
         Reason::RateLimit,
         Reason::InFlightLimit,
         Reason::FairShare,
@@ -93,6 +93,7 @@
         Reason::RetryBudget,
         Reason::HomeUnavailable,
         Reason::KeyTooOld,
+        Reason::KeyFromFuture,
         Reason::CopyRunning,
         Reason::KeyReused,
         Reason::CallerGone,
--- a/lib/src/transport/peer_links/inbound.rs
+++ b/lib/src/transport/peer_links/inbound.rs
@@ -181,7 +181,7 @@
         let shared = &self.inbound.shared;
         prepare(stream)?;
         let nonce = draw_nonce()?;
-        stream.write_all(&encode_challenge(nonce))?;
+        stream.write_all(&encode_challenge(nonce, &shared.sender.host)?)?;
         let deadline = Instant::now() + HELLO_TIMEOUT;
         let frame = read_first(stream, MAX_HELLO_BYTES, deadline)?;
         let listener = FrameListener::new(&shared.key, &shared.sender.host, nonce);
--- a/lib/src/transport/peer_links/mod.rs
+++ b/lib/src/transport/peer_links/mod.rs
@@ -31,6 +31,7 @@
 use slog::info;
 
 use crate::coordination::Envelope;
+use crate::coordination::PeerAddr;
 use crate::coordination::PeerMessage;
 use crate::protocol::FleetKey;
 use crate::protocol::LinkKind;
@@ -66,15 +67,6 @@
     pub ring: usize,
 }
 
-/// A peer and where it listens.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PeerAddress {
-    /// The peer's published name.
-    pub host: HostName,
-    /// Where it listens for its peers.
-    pub addr: SocketAddr,
-}
-
 /// Why a message was not taken; it was not and will not be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SendRefused {
@@ -187,7 +179,7 @@
     /// Takes `published` as the peers: connects to new ones and closes links to others.
     ///
     /// This host itself may be among them and is left out.
-    pub fn set_peers(&self, published: &[PeerAddress]) -> io::Result<()> {
+    pub fn set_peers(&self, published: &[PeerAddr]) -> io::Result<()> {
         let own = &self.shared.sender.host;
         let published: Vec<_> = published.iter().filter(|peer| peer.host != *own).collect();
         let known = published.iter().map(|peer| peer.host.clone());
@@ -255,7 +247,7 @@
         link.send(encode_message(message).map_err(|_| SendRefused::TooLong)?)
     }
 
-    fn keep_or_open(&self, kept: Option<Peer>, published: &PeerAddress) -> io::Result<Peer> {
+    fn keep_or_open(&self, kept: Option<Peer>, published: &PeerAddr) -> io::Result<Peer> {
         if let Some(peer) = kept {
             if peer.addr == published.addr {
                 return Ok(peer);
--- a/lib/src/transport/peer_links/outbound.rs
+++ b/lib/src/transport/peer_links/outbound.rs
@@ -23,15 +23,17 @@
 use slog::debug;
 use slog::info;
 
+use crate::coordination::PeerAddr;
 use crate::protocol::CHALLENGE_BYTES;
 use crate::protocol::FrameError;
 use crate::protocol::FrameSender;
 use crate::protocol::LinkKind;
+use crate::protocol::Nonce;
 use crate::protocol::TAG_BYTES;
 use crate::protocol::decode_challenge;
+use crate::state::HostName;
 
 use super::DropCause;
-use super::PeerAddress;
 use super::SendRefused;
 use super::Shared;
 use super::stream::draw_nonce;
@@ -84,7 +86,7 @@
     /// Starts the thread of a link to `peer`.
     pub(super) fn open(
         shared: Arc<Shared>,
-        peer: PeerAddress,
+        peer: PeerAddr,
         kind: LinkKind,
     ) -> io::Result<Outbound> {
         let (ring, rest) = bounded(shared.ring);
@@ -151,7 +153,7 @@
 /// The thread's side of one link.
 struct Writer {
     shared: Arc<Shared>,
-    peer: PeerAddress,
+    peer: PeerAddr,
     kind: LinkKind,
     ring: Receiver<Queued>,
     state: Arc<LinkState>,
@@ -205,11 +207,12 @@
         let mut stream = TcpStream::connect_timeout(&self.peer.addr, CONNECT_TIMEOUT)?;
         prepare(&stream)?;
         let deadline = Instant::now() + WELCOME_TIMEOUT;
-        let mut challenge = [0; CHALLENGE_BYTES];
-        read_by(&mut stream, &mut challenge, deadline)?;
-        let challenge = decode_challenge(challenge).map_err(io::Error::other)?;
+        let (challenge, receiver) = read_challenge(&mut stream, deadline)?;
+        if !self.is_meant(&receiver) {
+            return Err(io::Error::other(format!("the host there is `{receiver}`")));
+        }
         let (key, sender) = (&self.shared.key, self.shared.sender.clone());
-        let mut frames = FrameSender::new(key, sender, &self.peer.host, challenge);
+        let mut frames = FrameSender::new(key, sender, &receiver, challenge);
         let nonce = draw_nonce()?;
         stream.write_all(&frames.hello(self.kind, nonce).map_err(io::Error::other)?)?;
         let mut welcome = [0; TAG_BYTES];
@@ -218,6 +221,15 @@
         Ok((stream, frames))
     }
 
+    /// Tells whether `receiver` is the host that this link is for.
+    ///
+    /// A peer from the settings has its address in place of a name, until a list names it.
+    fn is_meant(&self, receiver: &HostName) -> bool {
+        let unnamed = self.peer.host.as_str() == self.peer.addr.to_string();
+        let own = *receiver == self.shared.sender.host;
+        !own && (unnamed || *receiver == self.peer.host)
+    }
+
     /// Writes what the ring brings until the connection fails or the link is closed.
     fn pump(&self, mut stream: TcpStream, mut frames: FrameSender) -> Ended {
         let mut batch = Vec::new();
@@ -293,3 +305,14 @@
         self.shared.tally.drop(cause);
     }
 }
+
+/// Reads a challenge, and the name that its sender claims until its welcome proves it.
+fn read_challenge(stream: &mut TcpStream, deadline: Instant) -> io::Result<(Nonce, HostName)> {
+    let mut start = [0; CHALLENGE_BYTES];
+    read_by(stream, &mut start, deadline)?;
+    let challenge = decode_challenge(&start).map_err(io::Error::other)?;
+    let mut name = vec![0; challenge.name_len];
+    read_by(stream, &mut name, deadline)?;
+    let name = String::from_utf8(name).map_err(io::Error::other)?;
+    Ok((challenge.nonce, HostName::new(name)))
+}
