demo: run today's fleet in one process

Cause: the whole path needs a way to be tried without set-up. Ruled out: child processes, which the demo's user would have to clean up after a crash.

--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands, one module each.
 
 mod check;
+mod demo;
 mod hash_token;
 mod serve;
 mod settings;
@@ -14,6 +15,7 @@
 #[argh(subcommand)]
 pub(crate) enum Command {
     Check(check::Check),
+    Demo(demo::Demo),
     HashToken(hash_token::HashToken),
     Serve(serve::Serve),
     Settings(settings::PrintSettings),
@@ -24,6 +26,7 @@
     pub(crate) fn run(self) -> Exit {
         match self {
             Command::Check(command) => command.run(),
+            Command::Demo(command) => command.run(),
             Command::HashToken(command) => command.run(),
             Command::Serve(command) => command.run(),
             Command::Settings(command) => command.run(),
--- a/lib/src/coordination/node/calls.rs
+++ b/lib/src/coordination/node/calls.rs
@@ -228,7 +228,11 @@
     }
 
     /// Chooses a live process of a service, in this zone if there is one.
-    fn choose_service(&mut self, service: &ServiceName, tried: &[SocketAddr]) -> Option<SocketAddr> {
+    fn choose_service(
+        &mut self,
+        service: &ServiceName,
+        tried: &[SocketAddr],
+    ) -> Option<SocketAddr> {
         let usable = self.list.services.iter().filter(|host| {
             let fits = host.service == *service && !tried.contains(&host.addr);
             fits && self.takes_work(host.addr)
@@ -271,12 +275,7 @@
     }
 
     /// Ends a call that was sent or could not be.
-    fn end_sent(
-        &mut self,
-        now: Now,
-        sent: SentCall,
-        result: Result<ServiceReply, ServiceFailure>,
-    ) {
+    fn end_sent(&mut self, now: Now, sent: SentCall, result: Result<ServiceReply, ServiceFailure>) {
         let Duty::Home(key) = sent.duty else {
             let result = result.map_err(|failure| failure_refusal(&sent, failure));
             self.end_call(now.mono, sent.call.id, result);
@@ -292,12 +291,7 @@
     }
 
     /// Answers the caller of a call.
-    fn end_call(
-        &mut self,
-        now: Moment,
-        request: RequestId,
-        result: Result<ServiceReply, Refusal>,
-    ) {
+    fn end_call(&mut self, now: Moment, request: RequestId, result: Result<ServiceReply, Refusal>) {
         let Some(open) = self.calls.open.remove(&request) else { return };
         self.calls.tickets.remove(&open.ticket);
         self.limits.release(now, &open.customer, 0);
--- a/lib/src/coordination/node/completions.rs
+++ b/lib/src/coordination/node/completions.rs
@@ -152,11 +152,8 @@
         self.retries.first_try(now);
         self.answer(ticket, AnswerPiece::Accepted(id));
         self.note(Event::Admitted { request: id, prompt_tokens, deadline });
-        let nobody = Asking {
-            engine: EngineName::new(""),
-            dispatcher: self.host.clone(),
-            asked: now,
-        };
+        let nobody =
+            Asking { engine: EngineName::new(""), dispatcher: self.host.clone(), asked: now };
         self.running.insert(Running {
             completion,
             ticket,
@@ -326,7 +323,6 @@
             engine: grant.engine,
             addr,
             dispatcher: from.clone(),
-            started: now,
             flowing: None,
             heard: now,
         });
--- a/lib/src/coordination/node/control.rs
+++ b/lib/src/coordination/node/control.rs
@@ -218,12 +218,7 @@
     }
 
     /// Notes what this host's own connection to a target showed.
-    pub(super) fn see_target(
-        &mut self,
-        now: Moment,
-        addr: SocketAddr,
-        state: Option<TargetState>,
-    ) {
+    pub(super) fn see_target(&mut self, now: Moment, addr: SocketAddr, state: Option<TargetState>) {
         self.targets.saw(now, &addr.to_string(), state);
         self.judge_targets(now);
     }
@@ -234,10 +229,16 @@
         if events.is_empty() {
             return;
         }
+        self.renew_usable(now);
         for event in events {
+            if let Event::TargetChanged { target, state } = &event
+                && state == TargetHealth::Gone.as_str()
+                && let Ok(addr) = target.parse()
+            {
+                self.leave_engine(now, addr);
+            }
             self.note(event);
         }
-        self.renew_usable(now);
     }
 
     /// Works out anew which targets take new work.
@@ -285,11 +286,7 @@
     }
 
     /// Takes the platform's answer to a watch of the live list.
-    pub(super) fn on_live_read(
-        &mut self,
-        now: Now,
-        read: Result<Option<LiveList>, ReadFailure>,
-    ) {
+    pub(super) fn on_live_read(&mut self, now: Now, read: Result<Option<LiveList>, ReadFailure>) {
         self.control.reading_live = false;
         match read {
             Ok(list) => {
@@ -338,9 +335,12 @@
         if list.version <= self.list.version {
             return;
         }
-        for gone in self.list.engines.iter().filter(|engine| {
-            !list.engines.iter().any(|listed| listed.name == engine.name)
-        }) {
+        for gone in self
+            .list
+            .engines
+            .iter()
+            .filter(|engine| !list.engines.iter().any(|listed| listed.name == engine.name))
+        {
             self.placer.forget(&gone.name);
         }
         self.members.set_hosts(now.mono, &list);
--- a/lib/src/coordination/node/dispatch.rs
+++ b/lib/src/coordination/node/dispatch.rs
@@ -62,7 +62,12 @@
     }
 
     /// Returns the attempts whose owner has not been alive for the whole margin.
-    fn ripe_orphans(&mut self, now: Moment, dead: &[Suspect], margin: std::time::Duration) -> Vec<AttemptId> {
+    fn ripe_orphans(
+        &mut self,
+        now: Moment,
+        dead: &[Suspect],
+        margin: std::time::Duration,
+    ) -> Vec<AttemptId> {
         self.orphans.retain(|attempt, _| dead.iter().any(|suspect| suspect.attempt == *attempt));
         for suspect in dead {
             self.orphans.entry(suspect.attempt).or_insert(now);
--- a/lib/src/coordination/node/engine_signals.rs
+++ b/lib/src/coordination/node/engine_signals.rs
@@ -1,5 +1,6 @@
 //! What engines' streams say of running attempts, and what that means for the answer.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::Node;
@@ -191,10 +192,15 @@
         }
     }
 
-    /// Moves the streams of an engine that was seen gone.
-    pub(super) fn leave_engine(&mut self, now: Moment, addr: std::net::SocketAddr) {
+    /// Moves the requests that an engine which was seen gone has not begun to answer.
+    ///
+    /// Those that it answers are given up by their own silence, since the fault may lie between it
+    /// and its dispatcher.
+    pub(super) fn leave_engine(&mut self, now: Moment, addr: SocketAddr) {
         let lost = self.running.iter().filter_map(|running| match &running.phase {
-            Phase::Streaming(streaming) if streaming.addr == addr && streaming.flowing.is_none() => {
+            Phase::Streaming(streaming)
+                if streaming.addr == addr && streaming.flowing.is_none() =>
+            {
                 Some((running.attempt_id(), streaming.clone()))
             }
             _ => None,
@@ -225,9 +231,4 @@
             owned.queue.finished(now, finished);
         }
     }
-
-    /// Returns the running request of an attempt, if it is the newest.
-    pub(super) fn is_current(&self, id: RequestId, attempt: AttemptId) -> bool {
-        self.running.get(id).is_some_and(|running| running.attempt_id() == attempt)
-    }
 }
--- a/lib/src/coordination/node/groups.rs
+++ b/lib/src/coordination/node/groups.rs
@@ -243,7 +243,6 @@
                 engine: plan.engine,
                 addr,
                 dispatcher,
-                started: now,
                 flowing: None,
                 heard: now,
             });
--- a/lib/src/coordination/node/running.rs
+++ b/lib/src/coordination/node/running.rs
@@ -67,8 +67,6 @@
     pub(super) addr: SocketAddr,
     /// The dispatcher that gave leave.
     pub(super) dispatcher: HostName,
-    /// When the stream was started.
-    pub(super) started: Moment,
     /// When prefill was over.
     pub(super) flowing: Option<Moment>,
     /// When the engine last said something.
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod settings;
 pub(crate) mod spelling;
 
+pub use caller_api::CallerHeaders;
 pub use frame::*;
 pub use peer_wire::*;
 pub use place::*;
--- a/lib/src/protocol/peer_wire/lease.rs
+++ b/lib/src/protocol/peer_wire/lease.rs
@@ -7,7 +7,9 @@
 use crate::coordination::ClaimState;
 use crate::coordination::HandOver;
 use crate::coordination::LeaseMessage;
+use crate::coordination::Process;
 use crate::state::HostName;
+use crate::state::Incarnation;
 
 use super::WireError;
 use super::call::WireKey;
@@ -15,29 +17,34 @@
 use super::call::WireReply;
 use super::limits::List;
 use super::limits::MAX_CLAIMS;
+use super::limits::MAX_SETS;
 use super::limits::MAX_SHARDS;
 use super::limits::convert;
 use super::limits::name;
 
 type Shards = List<u16, MAX_SHARDS>;
+type Sets = List<u64, MAX_SETS>;
 
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) enum WireLease<'a> {
     Ask {
         round: u64,
         list: u64,
+        sets: Sets,
         shards: Shards,
     },
     Grant {
         round: u64,
         list: u64,
+        sets: Sets,
         shards: Shards,
         handed: Shards,
     },
     Release {
         round: u64,
         shards: Shards,
-        successor: Option<&'a str>,
+        #[serde(borrow)]
+        successor: Option<WireProcess<'a>>,
     },
     #[serde(borrow)]
     HandOver(WireHandOver<'a>),
@@ -60,19 +67,23 @@
 impl<'a> From<&'a LeaseMessage> for WireLease<'a> {
     fn from(message: &'a LeaseMessage) -> Self {
         match message {
-            LeaseMessage::Ask { round, list, shards } => {
-                WireLease::Ask { round: *round, list: *list, shards: List(shards.clone()) }
-            }
-            LeaseMessage::Grant { round, list, shards, handed } => WireLease::Grant {
+            LeaseMessage::Ask { round, list, sets, shards } => WireLease::Ask {
+                round: *round,
+                list: *list,
+                sets: List(sets.clone()),
+                shards: List(shards.clone()),
+            },
+            LeaseMessage::Grant { round, list, sets, shards, handed } => WireLease::Grant {
                 round: *round,
                 list: *list,
+                sets: List(sets.clone()),
                 shards: List(shards.clone()),
                 handed: List(handed.clone()),
             },
             LeaseMessage::Release { round, shards, successor } => WireLease::Release {
                 round: *round,
                 shards: List(shards.clone()),
-                successor: successor.as_ref().map(HostName::as_str),
+                successor: successor.as_ref().map(WireProcess::from),
             },
             LeaseMessage::HandOver(hand_over) => WireLease::HandOver(hand_over.as_ref().into()),
             LeaseMessage::HandOverDone { round, shard } => {
@@ -87,14 +98,15 @@
 
     fn try_from(wire: WireLease<'_>) -> Result<Self, WireError> {
         Ok(match wire {
-            WireLease::Ask { round, list, shards } => {
-                LeaseMessage::Ask { round, list, shards: shards.0 }
+            WireLease::Ask { round, list, sets, shards } => {
+                LeaseMessage::Ask { round, list, sets: sets.0, shards: shards.0 }
             }
-            WireLease::Grant { round, list, shards, handed } => {
-                LeaseMessage::Grant { round, list, shards: shards.0, handed: handed.0 }
+            WireLease::Grant { round, list, sets, shards, handed } => {
+                let (sets, shards, handed) = (sets.0, shards.0, handed.0);
+                LeaseMessage::Grant { round, list, sets, shards, handed }
             }
             WireLease::Release { round, shards, successor } => {
-                let successor = successor.map(name).transpose()?.map(HostName::new);
+                let successor = successor.map(Process::try_from).transpose()?;
                 LeaseMessage::Release { round, shards: shards.0, successor }
             }
             WireLease::HandOver(hand_over) => {
@@ -105,6 +117,27 @@
     }
 }
 
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WireProcess<'a> {
+    host: &'a str,
+    incarnation: u64,
+}
+
+impl<'a> From<&'a Process> for WireProcess<'a> {
+    fn from(process: &'a Process) -> Self {
+        WireProcess { host: process.host.as_str(), incarnation: process.incarnation.0 }
+    }
+}
+
+impl TryFrom<WireProcess<'_>> for Process {
+    type Error = WireError;
+
+    fn try_from(wire: WireProcess<'_>) -> Result<Self, WireError> {
+        let host = HostName::new(name(wire.host)?);
+        Ok(Process { host, incarnation: Incarnation(wire.incarnation) })
+    }
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct WireHandOver<'a> {
     round: u64,
--- a/lib/src/protocol/peer_wire/limits.rs
+++ b/lib/src/protocol/peer_wire/limits.rs
@@ -26,6 +26,8 @@
 pub const MAX_MODELS: usize = 64;
 /// The most shards that one message names.
 pub const MAX_SHARDS: usize = 64 * 1024;
+/// The most sets of entry hosts that one lease message names.
+pub const MAX_SETS: usize = 64;
 /// The most blocks of one prompt.
 pub const MAX_BLOCKS: usize = 4 * 1024;
 /// The most claims in one hand-over.
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -28,6 +28,7 @@
 pub(crate) mod retry_budget;
 pub(crate) mod rules;
 pub(crate) mod time;
+pub(crate) mod time_line;
 pub(crate) mod tuning;
 
 pub use answer::*;
@@ -54,4 +55,5 @@
 pub use retry_budget::*;
 pub use rules::*;
 pub use time::*;
+pub use time_line::*;
 pub use tuning::*;
--- a/lib/src/transport/caller_response.rs
+++ b/lib/src/transport/caller_response.rs
@@ -3,13 +3,13 @@
 use std::io::Cursor;
 use std::time::Duration;
 
+use futures_util::StreamExt;
 use rocket::Request;
 use rocket::http::ContentType;
-use rocket::http::Header;
 use rocket::http::Status;
 use rocket::response::Responder;
 use rocket::response::Response;
-use rocket::response::stream::ByteStream;
+use rocket::response::stream::ReaderStream;
 
 use crate::coordination::Rejection;
 use crate::protocol::caller_api::RefusalJson;
@@ -92,14 +92,15 @@
 }
 
 impl<'r> Responder<'r, 'static> for CallerResponse {
-    fn respond_to(self, request: &'r Request<'_>) -> rocket::response::Result<'static> {
+    fn respond_to(self, _request: &'r Request<'_>) -> rocket::response::Result<'static> {
         match self {
             CallerResponse::Json { status, body, retry } => json_response(status, body, retry),
             CallerResponse::Events(events) => {
-                let mut response = ByteStream(events).respond_to(request)?;
-                response.set_header(ContentType::EventStream);
-                response.set_header(Header::new("cache-control", "no-cache"));
-                Ok(response)
+                let mut response = Response::build();
+                response.header(ContentType::EventStream);
+                response.raw_header("cache-control", "no-cache");
+                response.streamed_body(ReaderStream::from(events.map(Cursor::new)));
+                response.ok()
             }
             CallerResponse::Service { id, reply } => service_response(id, reply),
         }
--- a/lib/src/transport/callers.rs
+++ b/lib/src/transport/callers.rs
@@ -92,11 +92,7 @@
 }
 
 fn busy() -> Refusal {
-    Refusal {
-        outcome: Outcome::NotRun,
-        reason: Reason::Overloaded,
-        retry_after: Some(BUSY_RETRY),
-    }
+    Refusal { outcome: Outcome::NotRun, reason: Reason::Overloaded, retry_after: Some(BUSY_RETRY) }
 }
 
 /// The way back from the core to one caller; dropping it early tells the core that it is gone.
--- a/lib/src/transport/core_thread.rs
+++ b/lib/src/transport/core_thread.rs
@@ -20,7 +20,6 @@
 use super::engine_client::EngineClient;
 use super::event_log;
 use super::metrics::Metrics;
-use super::peer_links::PeerAddress;
 use super::peer_links::PeerLinks;
 use super::platform_client::PlatformClient;
 use super::ring::CoreMessage;
@@ -28,12 +27,12 @@
 use super::service_client::ServiceClient;
 use crate::coordination::AnswerPiece;
 use crate::coordination::CallerTicket;
-use crate::coordination::StreamReport;
 use crate::coordination::EngineSignal;
 use crate::coordination::Input;
 use crate::coordination::Node;
 use crate::coordination::NodeStatus;
 use crate::coordination::Output;
+use crate::coordination::StreamReport;
 use crate::state::AttemptId;
 use crate::state::Moment;
 use crate::state::Now;
@@ -234,11 +233,7 @@
                 runtime.spawn(engines.clone().order(addr, order));
             }
             Output::SetPeers(peers) => {
-                let addresses: Vec<PeerAddress> = peers
-                    .into_iter()
-                    .map(|peer| PeerAddress { host: peer.host, addr: peer.addr })
-                    .collect();
-                if let Err(error) = links.set_peers(&addresses) {
+                if let Err(error) = links.set_peers(&peers) {
                     slog::warn!(self.log, "links to peers could not be opened"; "error" => %error);
                 }
             }
@@ -274,7 +269,11 @@
         self.snapshot_at = now + SNAPSHOT_EVERY;
         let status = self.node.status(self.now());
         self.shown.healthy.store(status.ready, Ordering::Relaxed);
-        self.shown.metrics.record(&status, &self.clients.links.counters(), self.clients.core.shed());
+        self.shown.metrics.record(
+            &status,
+            &self.clients.links.counters(),
+            self.clients.core.shed(),
+        );
         *lock(&self.shown.status) = Arc::new(status);
     }
 }
--- a/lib/src/transport/daemon.rs
+++ b/lib/src/transport/daemon.rs
@@ -133,8 +133,7 @@
         let clients = make_clients(settings, &runtime, core.clone(), links)?;
         let node = Node::new(first_now(start), node_settings(settings, incarnation));
         let rings = CoreRings { control, work };
-        let driver =
-            CoreThread::new(node, rings, clients, shown.clone(), log.clone(), start);
+        let driver = CoreThread::new(node, rings, clients, shown.clone(), log.clone(), start);
         let thread = thread::Builder::new()
             .name("core".to_owned())
             .spawn(move || driver.run())
--- a/lib/src/transport/engine_client.rs
+++ b/lib/src/transport/engine_client.rs
@@ -12,12 +12,12 @@
 use super::ring::CoreSender;
 use crate::coordination::EngineFacts;
 use crate::coordination::EnginePoll;
-use crate::coordination::StreamReport;
 use crate::coordination::EngineSignal;
 use crate::coordination::EngineWord;
 use crate::coordination::Input;
 use crate::coordination::OrderReport;
 use crate::coordination::OrderResult;
+use crate::coordination::StreamReport;
 use crate::coordination::StreamStart;
 use crate::protocol::engine_api::EngineRefusal;
 use crate::protocol::engine_api::EngineRequest;
@@ -58,11 +58,8 @@
 
     /// Runs one attempt to its end and reports all that the engine says.
     pub(crate) async fn run(self, start: StreamStart) {
-        let end = if start.prefill_only {
-            self.prefill(&start).await
-        } else {
-            self.stream(&start).await
-        };
+        let end =
+            if start.prefill_only { self.prefill(&start).await } else { self.stream(&start).await };
         if let Err(signal) = end {
             self.report(&start, signal).await;
         }
@@ -149,8 +146,7 @@
     }
 
     async fn report(&self, start: &StreamStart, signal: EngineSignal) {
-        let report =
-            StreamReport { attempt: start.attempt, engine: start.engine.clone(), signal };
+        let report = StreamReport { attempt: start.attempt, engine: start.engine.clone(), signal };
         self.core.send(Input::Engine(report)).await;
     }
 
--- a/lib/src/transport/service_client.rs
+++ b/lib/src/transport/service_client.rs
@@ -47,11 +47,7 @@
         self.core.send(Input::Service(report)).await;
     }
 
-    async fn send(
-        &self,
-        addr: SocketAddr,
-        call: &ServiceCall,
-    ) -> Result<Answered, ServiceFailure> {
+    async fn send(&self, addr: SocketAddr, call: &ServiceCall) -> Result<Answered, ServiceFailure> {
         let method =
             Method::from_bytes(call.method.as_bytes()).map_err(|_| ServiceFailure::NotSent)?;
         let url = format!("http://{addr}{}", call.path);
