limits: give each host an even part of what a customer does not use

Cause: at low demand the parts followed the ratio of the last reports, so one small request at a peer left this host a fiftieth of the limit; a prompt of 105,000 tokens was refused at a limit of 4,000,000 tokens a second. Ruled out: a larger bucket, which only moves the point at which it happens. Change: below the limit a host has its own demand and an even part of the rest; above it the parts follow the demand as before. Conclusion: the parts still add up to the limit.

--- a/lib/src/coordination/node/io.rs
+++ b/lib/src/coordination/node/io.rs
@@ -295,7 +295,7 @@
 pub struct Segment {
     /// The engine's address.
     pub addr: SocketAddr,
-    /// The export's name there.
+    /// The export's name there, as the text of a JSON value.
     pub export: Arc<str>,
     /// The segment's length in tokens.
     pub tokens: u32,
@@ -340,7 +340,7 @@
     },
     /// The segment is read and can be imported.
     Exported {
-        /// The export's name.
+        /// The export's name, as the text of a JSON value.
         export: Arc<str>,
         /// The segment's length in tokens.
         tokens: u32,
--- a/lib/src/protocol/engine_api.rs
+++ b/lib/src/protocol/engine_api.rs
@@ -48,8 +48,8 @@
 pub struct SegmentJson {
     /// The engine's address.
     pub engine: String,
-    /// The export's name there.
-    pub export: String,
+    /// The export's name there, as the engine gave it.
+    pub export: serde_json::Value,
     /// The segment's length in tokens.
     pub tokens: u32,
 }
@@ -58,7 +58,7 @@
     fn from(segment: &Segment) -> SegmentJson {
         SegmentJson {
             engine: segment.addr.to_string(),
-            export: segment.export.to_string(),
+            export: serde_json::from_str(&segment.export).unwrap_or_default(),
             tokens: segment.tokens,
         }
     }
@@ -125,8 +125,8 @@
 /// The answer of `POST /v1/prefill`.
 #[derive(Debug, Clone, Deserialize)]
 pub struct PrefillReply {
-    /// The export's name.
-    pub export: String,
+    /// The export's name, which is handed back as it came.
+    pub export: serde_json::Value,
     /// The segment's length in tokens.
     pub tokens: u32,
 }
--- a/lib/src/state/limits.rs
+++ b/lib/src/state/limits.rs
@@ -131,9 +131,8 @@
         };
         let (limit, slots) = (f64::from(rule.rate), rule.in_flight);
         let fair = self.fair.get(customer).copied().filter(|fair| *fair < limit);
-        let share = self.share(customer);
         let may_start = self.may_start(customer, slots);
-        let rate = fair.unwrap_or(limit) * share;
+        let rate = self.part(customer, fair.unwrap_or(limit));
         let local = self.local.entry(customer.clone()).or_insert_with(|| Local::new(now, customer));
         local.demand.add(now, tokens);
         if !may_start {
@@ -155,14 +154,20 @@
         local.bucket.give_back(now, unused);
     }
 
-    /// Returns this host's share of a customer's rate, from zero to one.
-    fn share(&self, customer: &CustomerName) -> f64 {
+    /// Returns this host's part of `limit`, in tokens a second.
+    ///
+    /// While all hosts together want less than the limit, each has what it wants and an even part
+    /// of the rest, so that one which gets busy can start at once. Above the limit the parts follow
+    /// the demand, but for a floor. Either way the parts add up to the limit.
+    fn part(&self, customer: &CustomerName, limit: f64) -> f64 {
         let hosts = 1.0 + self.peers.len() as f64;
-        let own = self.local.get(customer).map_or(0, |local| local.reported.demand);
+        let own = self.local.get(customer).map_or(0.0, |local| f64::from(local.reported.demand));
         let others = self.peer_uses(customer).map(|item| f64::from(item.demand)).sum::<f64>();
-        let own = f64::from(own);
-        let following = if own + others > 0.0 { own / (own + others) } else { 1.0 / hosts };
-        FLOOR_PART / hosts + (1.0 - FLOOR_PART) * following
+        let wanted = own + others;
+        if wanted <= limit {
+            return own + (limit - wanted) / hosts;
+        }
+        limit * (FLOOR_PART / hosts + (1.0 - FLOOR_PART) * own / wanted)
     }
 
     /// Tells whether one more request may start.
--- a/lib/src/transport/engine_client.rs
+++ b/lib/src/transport/engine_client.rs
@@ -129,7 +129,10 @@
         let response = response.map_err(|_| EngineSignal::Lost { refused: false })??;
         let reply: PrefillReply =
             response.json().await.map_err(|_| EngineSignal::Lost { refused: false })?;
-        let signal = EngineSignal::Exported { export: reply.export.into(), tokens: reply.tokens };
+        let signal = EngineSignal::Exported {
+            export: reply.export.to_string().into(),
+            tokens: reply.tokens,
+        };
         self.report(start, signal).await;
         Ok(())
     }
