testutils: name exports by text, check resumed answers, show views of the platform

Entry hosts name exports by text and send the answer so far with a resume, so the engine stand-in reads both; an answer so far that does not follow from the prompt is refused and counted, which finds crossed answers.

Each entry host may read the platform through a server of its own that names other peer addresses. With a relay at each, a test can cut the links of any pair of entry hosts, and take the platform from one side alone.

--- a/lib/testutils/src/engine.rs
+++ b/lib/testutils/src/engine.rs
@@ -80,6 +80,8 @@
     pub peak_held: u32,
     /// Answers that grew past its memory; more than none is the caller's fault.
     pub over_memory: u64,
+    /// Resumed answers whose earlier text was not this prompt's answer, which are refused.
+    pub wrong_resumes: u64,
     /// Attempts that were cancelled.
     pub cancelled: u64,
     /// Streams whose reader went away before their end.
--- a/lib/testutils/src/engine_core.rs
+++ b/lib/testutils/src/engine_core.rs
@@ -35,6 +35,7 @@
 use crate::server::lock;
 use crate::stream_faults::StreamFaults;
 use crate::text::TextHash;
+use crate::text::answer_text;
 use crate::text::token_count;
 
 /// The time between two looks at the reports and the segments held elsewhere.
@@ -46,11 +47,8 @@
 /// The most cache events in one answer.
 const CACHE_PAGE: usize = 10_000;
 
-/// The exports of a process are numbered apart from those of the processes before it.
-const EXPORTS_PER_LIFE: u64 = 1 << 32;
-
 /// Something that the reader of a stream is told.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum StreamItem {
     /// Prefill is over.
     Started { cached: u32, prefill: Duration },
@@ -59,7 +57,7 @@
     /// The answer is whole.
     Finished { tokens: u32, finish: Finish },
     /// A segment is held.
-    Exported { export: u64, tokens: u32 },
+    Exported { export: String, tokens: u32 },
 }
 
 /// A request for an answer or a segment, after its form was checked.
@@ -71,9 +69,19 @@
     pub(crate) prompt: String,
     pub(crate) priority: u8,
     pub(crate) segments: Vec<SegmentRef>,
+    /// The text of the answer tokens that the caller already has, if it gave them.
+    pub(crate) answered: String,
     pub(crate) work: Work,
 }
 
+impl Submission {
+    /// Tells whether the answer so far is the one that follows from the prompt with `hash`.
+    fn is_answered_right(&self, hash: u64) -> bool {
+        let Work::Stream { resume_from, .. } = self.work else { return true };
+        self.answered.is_empty() || self.answered == answer_text(hash, 0, resume_from)
+    }
+}
+
 /// Why an engine refuses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum EngineRefusal {
@@ -81,6 +89,7 @@
     UnknownModel,
     Leaving,
     BadSegment,
+    BadAnswer,
     Duplicate,
 }
 
@@ -101,7 +110,7 @@
     sender: mpsc::UnboundedSender<StreamItem>,
     text: TextHash,
     segments: Vec<SegmentRef>,
-    export: Option<u64>,
+    export: Option<String>,
 }
 
 /// A report of load with when it was taken.
@@ -183,6 +192,10 @@
         let blocks = text.read(&submission.prompt);
         let hash = text.value();
         let mut state = lock(&self.state);
+        if !submission.is_answered_right(hash) {
+            state.counts.wrong_resumes += 1;
+            return Err(EngineRefusal::BadAnswer);
+        }
         state.admit(&submission)?;
         let attempt = submission.attempt;
         let order = Order {
@@ -219,7 +232,7 @@
         if let (Some(addr), Some(export)) =
             (*lock(&self.addr), running.and_then(|running| running.export))
         {
-            self.config.exports.drop_export(addr, export);
+            self.config.exports.drop_export(addr, &export);
         }
         drop(state);
         self.changed.notify_one();
@@ -375,10 +388,10 @@
             EngineEventKind::Token { offset } => StreamItem::Token { offset },
             EngineEventKind::Finished { tokens, finish } => StreamItem::Finished { tokens, finish },
             EngineEventKind::Exported { export, tokens } => {
-                let export = export + life * EXPORTS_PER_LIFE;
-                running.export = Some(export);
+                let export = format!("{life}-{export}");
+                running.export = Some(export.clone());
                 if let Some(engine) = *lock(&self.addr) {
-                    let segment = SegmentRef { engine, export, tokens };
+                    let segment = SegmentRef { engine, export: export.clone(), tokens };
                     let before = running.segments.clone();
                     self.config.exports.hold(segment, running.text.clone(), before);
                 }
@@ -390,8 +403,9 @@
                 return;
             }
         };
+        let ends = matches!(item, StreamItem::Finished { .. });
         let _ = running.sender.send(item);
-        if matches!(item, StreamItem::Finished { .. }) {
+        if ends {
             state.running.remove(&event.attempt);
         }
     }
@@ -414,7 +428,7 @@
                 *lock(&self.addr),
                 state.running.remove(&attempt).and_then(|running| running.export),
             ) {
-                self.config.exports.drop_export(addr, export);
+                self.config.exports.drop_export(addr, &export);
             }
         }
     }
--- a/lib/testutils/src/engine_http.rs
+++ b/lib/testutils/src/engine_http.rs
@@ -70,6 +70,8 @@
     #[serde(default)]
     resume_from: u32,
     #[serde(default)]
+    answered: String,
+    #[serde(default)]
     segments: Vec<SegmentRef>,
 }
 
@@ -90,6 +92,7 @@
             prompt: self.prompt,
             priority: self.priority,
             segments: self.segments,
+            answered: self.answered,
             work,
         })
     }
@@ -340,6 +343,7 @@
         EngineRefusal::BadSegment => {
             error(Status::Conflict, "bad_segment", "a segment is not held or not in order")
         }
+        EngineRefusal::BadAnswer => bad_request("the answer so far is of another".to_owned()),
         EngineRefusal::Duplicate => bad_request("the attempt is here already".to_owned()),
     }
 }
--- a/lib/testutils/src/exports.rs
+++ b/lib/testutils/src/exports.rs
@@ -12,12 +12,12 @@
 use crate::text::TextHash;
 
 /// A reference to a segment held by an engine, as requests name it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SegmentRef {
     /// The engine that holds it.
     pub engine: SocketAddr,
-    /// The number under which that engine holds it.
-    pub export: u64,
+    /// The name under which that engine holds it.
+    pub export: String,
     /// Its length in tokens.
     pub tokens: u32,
 }
@@ -37,7 +37,7 @@
 /// It takes the place of the engines' own transfers of KV cache.
 #[derive(Debug, Clone, Default)]
 pub struct Exports {
-    segments: Arc<Mutex<HashMap<(SocketAddr, u64), Segment>>>,
+    segments: Arc<Mutex<HashMap<(SocketAddr, String), Segment>>>,
 }
 
 impl Exports {
@@ -49,8 +49,8 @@
     }
 
     /// Forgets a segment.
-    pub(crate) fn drop_export(&self, engine: SocketAddr, export: u64) {
-        lock(&self.segments).remove(&(engine, export));
+    pub(crate) fn drop_export(&self, engine: SocketAddr, export: &str) {
+        lock(&self.segments).remove(&(engine, export.to_owned()));
     }
 
     /// Forgets all segments of an engine that lost its memory.
@@ -65,7 +65,7 @@
             return None;
         }
         let held = lock(&self.segments);
-        let segment = held.get(&(last.engine, last.export))?;
+        let segment = held.get(&(last.engine, last.export.clone()))?;
         (segment.before == before).then(|| segment.text.clone())
     }
 
@@ -73,7 +73,7 @@
     pub(crate) fn are_held(&self, segments: &[SegmentRef]) -> bool {
         let held = lock(&self.segments);
         segments.iter().all(|segment| {
-            let found = held.get(&(segment.engine, segment.export));
+            let found = held.get(&(segment.engine, segment.export.clone()));
             found.is_some_and(|found| found.tokens == segment.tokens)
         })
     }
--- a/lib/testutils/src/platform.rs
+++ b/lib/testutils/src/platform.rs
@@ -3,6 +3,7 @@
 //! Both are read and watched by long polling, count each call against one rate, and can be down
 //! or stale.
 
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -76,11 +77,56 @@
     changes: watch::Sender<u64>,
 }
 
+/// Where a reader finds entry hosts instead of their published peer addresses.
+pub type PeerRoutes = HashMap<String, SocketAddr>;
+
+/// What one reader's server shows.
+#[derive(Debug)]
+struct View {
+    core: Arc<Core>,
+    routes: PeerRoutes,
+}
+
+/// A server of the platform for one reader, which it can be down for alone.
+#[derive(Debug)]
+pub struct PlatformView {
+    server: Server,
+}
+
+impl PlatformView {
+    async fn start(core: Arc<Core>, routes: PeerRoutes) -> io::Result<PlatformView> {
+        let rocket = rocket::build().manage(View { core, routes });
+        let rocket = rocket.mount("/", routes![config, live]);
+        let server = Server::launch(rocket, Entrance::Relay).await?;
+        Ok(PlatformView { server })
+    }
+
+    /// Returns the address of its HTTP interface.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Refuses all connections.
+    pub fn stop(&self) {
+        self.server.refuse();
+    }
+
+    /// Takes connections again.
+    pub async fn resume(&self) -> io::Result<()> {
+        self.server.accept().await
+    }
+
+    /// Returns the switches for faults of its host and link.
+    pub fn server(&self) -> &Server {
+        &self.server
+    }
+}
+
 /// A running platform; it ends when it is dropped.
 #[derive(Debug)]
 pub struct Platform {
     core: Arc<Core>,
-    server: Server,
+    own: PlatformView,
 }
 
 impl Platform {
@@ -98,14 +144,20 @@
             counts: Mutex::default(),
             changes: watch::Sender::new(0),
         });
-        let rocket = rocket::build().manage(core.clone()).mount("/", routes![config, live]);
-        let server = Server::launch(rocket, Entrance::Relay).await?;
-        Ok(Platform { core, server })
+        let own = PlatformView::start(core.clone(), PeerRoutes::new()).await?;
+        Ok(Platform { core, own })
     }
 
     /// Returns the address of its HTTP interface.
     pub fn addr(&self) -> SocketAddr {
-        self.server.addr()
+        self.own.addr()
+    }
+
+    /// Starts a server for one reader, to whom some entry hosts are at other addresses.
+    ///
+    /// With a relay at each of them, a test can cut the links of each pair of entry hosts.
+    pub async fn view(&self, routes: PeerRoutes) -> io::Result<PlatformView> {
+        PlatformView::start(self.core.clone(), routes).await
     }
 
     /// Publishes a configuration and returns its version, from one.
@@ -156,17 +208,17 @@
 
     /// Refuses all connections.
     pub fn stop(&self) {
-        self.server.refuse();
+        self.own.stop();
     }
 
     /// Takes connections again.
     pub async fn resume(&self) -> io::Result<()> {
-        self.server.accept().await
+        self.own.resume().await
     }
 
     /// Returns the switches for faults of its host and link.
     pub fn server(&self) -> &Server {
-        &self.server
+        self.own.server()
     }
 
     /// Returns what it counted.
@@ -206,12 +258,16 @@
     }
 
     /// Returns the list for a reader that has `after`, unless it is to wait.
-    fn live(&self, after: u64) -> Option<Value> {
+    fn live(&self, after: u64, routes: &PeerRoutes) -> Option<Value> {
         let published = lock(&self.published);
         let lag = published.live_lag;
         let due = published.live.iter().rev().find(|(at, _)| at.elapsed() >= lag);
         let hosts = due.map(|(_, hosts)| hosts).filter(|hosts| hosts.version > after)?;
-        serde_json::to_value(&**hosts).ok()
+        let mut hosts = (**hosts).clone();
+        for host in &mut hosts.entry_hosts {
+            host.peer_addr = routes.get(&host.name).copied().unwrap_or(host.peer_addr);
+        }
+        serde_json::to_value(hosts).ok()
     }
 
     /// Waits until `look` finds something or `wait` is over.
@@ -236,7 +292,8 @@
 type Answer = Result<Json<Value>, (Status, ())>;
 
 #[get("/config?<after>&<wait_ms>")]
-async fn config(core: &State<Arc<Core>>, after: Option<u64>, wait_ms: Option<u64>) -> Answer {
+async fn config(view: &State<View>, after: Option<u64>, wait_ms: Option<u64>) -> Answer {
+    let core = &view.core;
     if !core.allow(|counts| counts.config += 1) {
         return Err((Status::TooManyRequests, ()));
     }
@@ -246,11 +303,12 @@
 }
 
 #[get("/live?<after>&<wait_ms>")]
-async fn live(core: &State<Arc<Core>>, after: Option<u64>, wait_ms: Option<u64>) -> Answer {
+async fn live(view: &State<View>, after: Option<u64>, wait_ms: Option<u64>) -> Answer {
+    let core = &view.core;
     if !core.allow(|counts| counts.live += 1) {
         return Err((Status::TooManyRequests, ()));
     }
     let wait = Duration::from_millis(wait_ms.unwrap_or(0));
-    let found = core.wait_for(wait, || core.live(after.unwrap_or(0))).await;
+    let found = core.wait_for(wait, || core.live(after.unwrap_or(0), &view.routes)).await;
     found.map(Json).ok_or((Status::NotModified, ()))
 }
