--- a/lib/src/coordination/message.rs
+++ b/lib/src/coordination/message.rs
@@ -17,6 +17,7 @@
 pub use crate::state::Grant;
 use crate::state::HostName;
 use crate::state::Incarnation;
+use crate::state::LiveList;
 use crate::state::Outcome;
 use crate::state::Reason;
 use crate::state::Refusal;
@@ -65,6 +66,31 @@
     Config(Box<ConfigUpdate>),
     /// Tells that a target was seen leaving or refusing connections.
     TargetSeen(TargetSeen),
+    /// Asks for the live list, for a host that the platform does not answer.
+    ListPull(ListPull),
+    /// Brings the live list.
+    List(Box<LiveList>),
+}
+
+impl PeerMessage {
+    /// Tells whether the message is about the fleet rather than about one request.
+    pub fn is_control(&self) -> bool {
+        match self {
+            PeerMessage::Heartbeat(_) | PeerMessage::Lease(_) | PeerMessage::TargetSeen(_) => true,
+            PeerMessage::ConfigPull(_) | PeerMessage::Config(_) => true,
+            PeerMessage::ListPull(_) | PeerMessage::List(_) => true,
+            PeerMessage::Ask(_) | PeerMessage::Grant(_) | PeerMessage::Deny(_) => false,
+            PeerMessage::Withdraw(_) | PeerMessage::FirstToken(_) => false,
+            PeerMessage::Finished(_) | PeerMessage::Forward(_) | PeerMessage::Answer(_) => false,
+        }
+    }
+}
+
+/// Asks for a live list newer than `have`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListPull {
+    /// The version in use at the sender; zero is none.
+    pub have: u64,
 }
 
 /// The periodic report of an entry host.
@@ -104,20 +130,31 @@
 /// Messages about leases on shards of idempotency keys.
 #[derive(Debug, Clone, PartialEq)]
 pub enum LeaseMessage {
-    /// Asks a voter for leases on `shards`; `round` pairs the reply with the ask.
-    Ask { round: u64, list: u64, shards: Vec<u16> },
+    /// Asks a voter for leases on `shards`; `round` pairs the reply with the ask, `list` is the
+    /// version of the sender's live list and `sets` the hashes of the entry-host sets of which it
+    /// needs a majority, oldest first. Without shards it only tells of the sets.
+    Ask { round: u64, list: u64, sets: Vec<u64>, shards: Vec<u16> },
     /// A voter's reply: the shards that it grants to the asker. `handed` are those among them whose
     /// holder before the asker, as far as this voter granted, named the asker its successor.
-    Grant { round: u64, list: u64, shards: Vec<u16>, handed: Vec<u16> },
+    Grant { round: u64, list: u64, sets: Vec<u64>, shards: Vec<u16>, handed: Vec<u16> },
     /// Gives up what the sender was granted in rounds up to `round`, so that another can have it at
-    /// once; with a successor, only that host before the grant would have lapsed.
-    Release { round: u64, shards: Vec<u16>, successor: Option<HostName> },
+    /// once; with a successor, only that process before the grant would have lapsed.
+    Release { round: u64, shards: Vec<u16>, successor: Option<Process> },
     /// Hands the claims of a shard over to a new holder during a planned stop.
     HandOver(Box<HandOver>),
     /// Confirms that the claims of a shard arrived.
     HandOverDone { round: u64, shard: u16 },
 }
 
+/// One process of an entry host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Process {
+    /// Its entry host.
+    pub host: HostName,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+}
+
 /// The claims of one shard on their way to a new holder.
 #[derive(Debug, Clone, PartialEq)]
 pub struct HandOver {
--- a/lib/src/coordination/node/calls.rs
+++ b/lib/src/coordination/node/calls.rs
@@ -53,6 +53,8 @@
     deadline: Moment,
     tries: u32,
     tried: Vec<SocketAddr>,
+    /// Whether an earlier try may have run.
+    lost: bool,
     duty: Duty,
 }
 
@@ -229,7 +231,7 @@
     fn choose_service(&mut self, service: &ServiceName, tried: &[SocketAddr]) -> Option<SocketAddr> {
         let usable = self.list.services.iter().filter(|host| {
             let fits = host.service == *service && !tried.contains(&host.addr);
-            fits && self.targets.takes_work(host.addr)
+            fits && self.takes_work(host.addr)
         });
         let usable: Vec<_> = usable.map(|host| (host.zone == self.zone, host.addr)).collect();
         let near = usable.iter().filter(|(near, _)| *near).choose(&mut self.rng);
@@ -239,7 +241,8 @@
 
     /// Takes a service's answer, or its absence.
     pub(super) fn on_service(&mut self, now: Now, report: ServiceReport) {
-        let Some(sent) = self.calls.sent.remove(&report.request) else { return };
+        let Some(mut sent) = self.calls.sent.remove(&report.request) else { return };
+        sent.lost |= report.result == Err(ServiceFailure::Lost);
         if report.leaving {
             self.see_target(now.mono, report.addr, Some(TargetState::Leaving));
         }
@@ -313,12 +316,16 @@
 
 impl SentCall {
     fn new(call: ServiceCall, deadline: Moment, duty: Duty) -> SentCall {
-        SentCall { call, deadline, tries: 0, tried: Vec::new(), duty }
+        SentCall { call, deadline, tries: 0, tried: Vec::new(), lost: false, duty }
     }
 }
 
 /// Says what a failed call that has no home means for its caller.
 fn failure_refusal(sent: &SentCall, failure: ServiceFailure) -> Refusal {
+    if sent.lost {
+        let reason = Reason::TargetFailed;
+        return Refusal { outcome: Outcome::Unknown, reason, retry_after: None };
+    }
     match failure {
         ServiceFailure::NotSent if sent.tries == 0 => {
             not_run(Reason::NoTarget, Some(NO_SERVICE_RETRY))
--- a/lib/src/protocol/peer_wire/message.rs
+++ b/lib/src/protocol/peer_wire/message.rs
@@ -2,6 +2,8 @@
 //!
 //! The order of variants is part of the format; a new kind goes to the end.
 
+use std::ops::RangeInclusive;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -21,6 +23,9 @@
 use super::heartbeat::WireHeartbeat;
 use super::heartbeat::WireTarget;
 use super::lease::WireLease;
+use super::limits::MAX_PLAIN_BYTES;
+use super::list::WireListPull;
+use super::list::WireLiveList;
 
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) enum WireMessage<'a> {
@@ -38,6 +43,21 @@
     ConfigPull(WirePull),
     Config(WireConfig<'a>),
     TargetSeen(WireTarget<'a>),
+    ListPull(WireListPull),
+    List(WireLiveList<'a>),
+}
+
+/// The place of the kinds that may bring bodies among the variants: lease, forward and answer.
+const KINDS_WITH_BODY: RangeInclusive<u8> = 7..=9;
+
+/// Checks that a message, given without its version, is not longer than its kind may be.
+pub(crate) fn check_len(message: &[u8]) -> Result<(), WireError> {
+    let has_body = message.first().is_some_and(|kind| KINDS_WITH_BODY.contains(kind));
+    let (found, limit) = (message.len(), MAX_PLAIN_BYTES);
+    if found > limit && !has_body {
+        return Err(WireError::BodyTooLong { found, limit });
+    }
+    Ok(())
 }
 
 impl WireMessage<'_> {
@@ -68,6 +88,8 @@
             PeerMessage::ConfigPull(pull) => WireMessage::ConfigPull(pull.into()),
             PeerMessage::Config(update) => WireMessage::Config(update.as_ref().into()),
             PeerMessage::TargetSeen(seen) => WireMessage::TargetSeen(seen.into()),
+            PeerMessage::ListPull(pull) => WireMessage::ListPull(pull.into()),
+            PeerMessage::List(list) => WireMessage::List(list.as_ref().into()),
         }
     }
 }
@@ -90,6 +112,8 @@
             WireMessage::ConfigPull(pull) => PeerMessage::ConfigPull(pull.into()),
             WireMessage::Config(update) => PeerMessage::Config(Box::new(update.try_into()?)),
             WireMessage::TargetSeen(seen) => PeerMessage::TargetSeen(seen.try_into()?),
+            WireMessage::ListPull(pull) => PeerMessage::ListPull(pull.into()),
+            WireMessage::List(list) => PeerMessage::List(Box::new(list.try_into()?)),
         })
     }
 }
