--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -4,15 +4,19 @@
 //! faults that the system must survive. Many run in one process, on the caller's runtime.
 
 pub(crate) mod clock;
+pub mod customers;
 pub mod engine;
 pub(crate) mod engine_core;
 pub(crate) mod engine_http;
 pub mod engine_model;
 pub mod engine_orders;
 pub mod exports;
+pub mod fleet;
 pub mod live;
 pub mod platform;
+pub mod ports;
 pub mod prefix_cache;
+pub mod process;
 pub(crate) mod rate;
 pub mod records;
 pub mod relay;
--- /dev/null
+++ b/lib/testutils/src/process.rs
@@ -0,0 +1,229 @@
+//! Entry hosts as child processes of a test: started, signalled and ended.
+
+use std::fmt;
+use std::fs;
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::Value;
+use tokio::time::Instant;
+
+use crate::server::lock;
+
+/// The time between two looks at a process.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// How long one question for a process's health may take.
+const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How many lines of a process's log an error repeats.
+const TOLD_LINES: usize = 12;
+
+/// A signal to a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Signal {
+    /// Asks for a planned stop.
+    Term,
+    /// Ends it at once.
+    Kill,
+    /// Pauses it.
+    Stop,
+    /// Lets it go on after a pause.
+    Continue,
+}
+
+impl Signal {
+    fn name(self) -> &'static str {
+        match self {
+            Signal::Term => "TERM",
+            Signal::Kill => "KILL",
+            Signal::Stop => "STOP",
+            Signal::Continue => "CONT",
+        }
+    }
+}
+
+/// Why a process is not up.
+#[derive(Debug)]
+pub enum ProcessError {
+    /// It could not be started.
+    Spawn(io::Error),
+    /// It ended by itself; the last lines of its log follow.
+    Ended(ExitStatus, Vec<String>),
+    /// It did not say that it is healthy in time; the last lines of its log follow.
+    NotHealthy(Vec<String>),
+}
+
+impl fmt::Display for ProcessError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ProcessError::Spawn(error) => write!(f, "the process did not start: {error}"),
+            ProcessError::Ended(status, log) => {
+                write!(f, "the process ended with {status}:\n{}", log.join("\n"))
+            }
+            ProcessError::NotHealthy(log) => {
+                write!(f, "the process did not become healthy:\n{}", log.join("\n"))
+            }
+        }
+    }
+}
+
+impl std::error::Error for ProcessError {}
+
+impl From<io::Error> for ProcessError {
+    fn from(error: io::Error) -> ProcessError {
+        ProcessError::Spawn(error)
+    }
+}
+
+/// A child process that runs `wasabicrank serve`; it is killed when this is dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Mutex<Child>,
+    id: u32,
+    callers: SocketAddr,
+    settings: PathBuf,
+    log: Arc<Mutex<Vec<String>>>,
+}
+
+impl Process {
+    /// Starts `binary serve` with `settings`, without waiting until it is up.
+    pub fn spawn(binary: impl AsRef<Path>, settings: &Value) -> Result<Process, ProcessError> {
+        let callers = caller_addr(settings)?;
+        let file = settings_file();
+        fs::write(&file, settings.to_string())?;
+        let mut child = Command::new(binary.as_ref())
+            .arg("serve")
+            .arg("--settings")
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()?;
+        let log = Arc::default();
+        if let Some(output) = child.stdout.take() {
+            keep_lines(output, Arc::clone(&log));
+        }
+        if let Some(output) = child.stderr.take() {
+            keep_lines(output, Arc::clone(&log));
+        }
+        let id = child.id();
+        Ok(Process { child: Mutex::new(child), id, callers, settings: file, log })
+    }
+
+    /// Returns its process identifier.
+    pub fn id(&self) -> u32 {
+        self.id
+    }
+
+    /// Returns where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Waits until it says that it is healthy.
+    pub async fn wait_healthy(&self, limit: Duration) -> Result<(), ProcessError> {
+        let client = reqwest::Client::new();
+        let url = format!("http://{}/health", self.callers);
+        let end = Instant::now() + limit;
+        while Instant::now() < end {
+            if let Some(status) = self.exit_status() {
+                return Err(ProcessError::Ended(status, self.last_lines()));
+            }
+            let answer = client.get(&url).timeout(HEALTH_TIMEOUT).send().await;
+            if answer.is_ok_and(|answer| answer.status().is_success()) {
+                return Ok(());
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        Err(ProcessError::NotHealthy(self.last_lines()))
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        // A process that has ended must not be signalled, for its identifier may be another's.
+        if self.exit_status().is_some() {
+            return Ok(());
+        }
+        let status = Command::new("kill")
+            .args(["-s", signal.name(), &self.id.to_string()])
+            .stderr(Stdio::null())
+            .status()?;
+        if status.success() { Ok(()) } else { Err(io::Error::other("kill failed")) }
+    }
+
+    /// Returns how it ended, if it has.
+    pub fn exit_status(&self) -> Option<ExitStatus> {
+        lock(&self.child).try_wait().ok().flatten()
+    }
+
+    /// Waits until it has ended; `None` if it has not within `limit`.
+    pub async fn wait_exit(&self, limit: Duration) -> Option<ExitStatus> {
+        let end = Instant::now() + limit;
+        loop {
+            let status = self.exit_status();
+            if status.is_some() || Instant::now() >= end {
+                return status;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// Returns the lines that it has written so far.
+    pub fn log(&self) -> Vec<String> {
+        lock(&self.log).clone()
+    }
+
+    fn last_lines(&self) -> Vec<String> {
+        let log = lock(&self.log);
+        log[log.len().saturating_sub(TOLD_LINES)..].to_vec()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let child = self.child.get_mut().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let _ = child.kill();
+        let _ = child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+/// Reads where callers connect from a process's settings.
+fn caller_addr(settings: &Value) -> io::Result<SocketAddr> {
+    let ip = settings["ip"].as_str().and_then(|ip| ip.parse().ok());
+    let port = settings["caller_port"].as_u64().and_then(|port| u16::try_from(port).ok());
+    let addr = ip.zip(port).map(|(ip, port)| SocketAddr::new(ip, port));
+    addr.ok_or_else(|| io::Error::other("the settings lack `ip` or `caller_port`"))
+}
+
+/// Returns a path of its own for a settings file.
+fn settings_file() -> PathBuf {
+    static COUNT: AtomicU64 = AtomicU64::new(0);
+    let count = COUNT.fetch_add(1, Ordering::Relaxed);
+    std::env::temp_dir().join(format!("wasabicrank-{}-{count}.json", std::process::id()))
+}
+
+/// Keeps the lines of `output` until it ends.
+fn keep_lines(output: impl Read + Send + 'static, log: Arc<Mutex<Vec<String>>>) {
+    thread::spawn(move || {
+        for line in BufReader::new(output).lines().map_while(Result::ok) {
+            lock(&log).push(line);
+        }
+    });
+}
