settings: name the line and column of a wrong field

serde reports where it stopped reading: for the last field of a file that is the line after it (seen in test_settings 'bad key is not shown': 10:1 in place of line 9). The place of a wrong field is now found from its name in the text, also for fields that do not go with each other. Rules for a key in nested objects are not needed, since no field takes one.

hash_token is in protocol, so that hash-token and callers' requests can share it.

--- a/cli/src/commands/hash_token.rs
+++ b/cli/src/commands/hash_token.rs
@@ -3,7 +3,7 @@
 use std::io::Read;
 
 use argh::FromArgs;
-use wasabicrank_lib::protocol::CallerHeaders;
+use wasabicrank_lib::protocol::hash_token;
 
 use crate::output::Exit;
 use crate::output::complain;
@@ -58,8 +58,5 @@
     if !bounds.contains(&token.len()) || !token.bytes().all(|byte| byte.is_ascii_graphic()) {
         return None;
     }
-    let authorization = format!("Bearer {token}");
-    let headers = CallerHeaders { authorization: Some(&authorization), ..Default::default() };
-    let hash = headers.token_hash()?;
-    Some(hash.iter().map(|byte| format!("{byte:02x}")).collect())
+    Some(hash_token(token).iter().map(|byte| format!("{byte:02x}")).collect())
 }
--- a/cli/src/commands/settings.rs
+++ b/cli/src/commands/settings.rs
@@ -41,10 +41,10 @@
     format!("{{\n{}\n}}\n", lines.join(",\n"))
 }
 
-/// Returns the fields with a comment above each.
+/// Returns the fields with comments.
 fn annotated() -> String {
-    let intro = "// The settings of one entry host. A settings file is this without the comments;\n\
-                 // fields that have a default may be left out.\n";
+    let intro = "// The settings of one entry host, with their defaults or samples. Fields with a\n\
+                 // default may be left out. `--json` prints them without comments, for a new file.\n";
     let fields: Vec<String> = FIELDS.iter().map(annotated_field).collect();
     format!("{intro}{{\n{}}}\n", fields.join("\n"))
 }
@@ -52,17 +52,16 @@
 /// Returns one field with its meaning, form and default.
 fn annotated_field(field: &Field) -> String {
     let default = match field.default {
-        Preset::Required => "required",
+        Preset::Required => "required, for example:",
         Preset::Absent => "absent by default",
         _ => "default:",
     };
-    let shown = value(field).unwrap_or_else(|| "…".to_owned());
-    format!(
-        "  // {}\n  // Form: {}; {default}\n  \"{}\": {shown},\n",
-        field.meaning,
-        field.expected(),
-        field.name
-    )
+    let shown = match value(field) {
+        Some(value) => format!("\"{}\": {value},", field.name),
+        None => format!("// \"{}\": …,", field.name),
+    };
+    let (meaning, form) = (field.meaning, field.expected());
+    format!("  // {meaning}\n  // Form: {form}; {default}\n  {shown}\n")
 }
 
 /// Returns the default, or the sample where there is none.
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod rules_text;
 pub(crate) mod settings;
 pub(crate) mod spelling;
+pub(crate) mod token;
 
 pub use caller_api::CallerHeaders;
 pub use frame::*;
@@ -24,3 +25,4 @@
 pub use rules_text::RuleFault;
 pub use rules_text::parse as parse_rules;
 pub use settings::*;
+pub use token::*;
--- a/lib/src/protocol/place.rs
+++ b/lib/src/protocol/place.rs
@@ -11,6 +11,16 @@
     pub column: usize,
 }
 
+impl Place {
+    /// Returns the place of the character at `offset` bytes of `text`.
+    pub(crate) fn at(text: &str, offset: usize) -> Place {
+        let before = text.get(..offset).unwrap_or(text);
+        let line_start = before.rfind('\n').map_or(0, |at| at + 1);
+        let line = before.matches('\n').count() + 1;
+        Place { line, column: before[line_start..].chars().count() + 1 }
+    }
+}
+
 impl fmt::Display for Place {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}:{}", self.line, self.column)
--- a/lib/src/protocol/settings.rs
+++ b/lib/src/protocol/settings.rs
@@ -31,6 +31,7 @@
 use crate::state::HostName;
 use crate::state::Tuning;
 use crate::state::ZoneName;
+use document::field_place;
 use document::read_document;
 use file::SettingsFile;
 
@@ -179,7 +180,10 @@
         let place = Place { line: error.line(), column: error.column() };
         SettingsFault::Syntax { place, cause: error.to_string() }
     })?;
-    Settings::try_from(file).map_err(|fault| SettingsFault::Field { place: None, fault })
+    Settings::try_from(file).map_err(|fault| {
+        let place = field_place(text, &fault.field, false);
+        SettingsFault::Field { place, fault }
+    })
 }
 
 impl PeerKey {
--- a/lib/src/protocol/settings/document.rs
+++ b/lib/src/protocol/settings/document.rs
@@ -16,12 +16,12 @@
 
 /// Reads `text` into a JSON object that has every field with a default and only known ones.
 pub(crate) fn read_document(text: &str) -> Result<Map<String, Value>, SettingsFault> {
-    let mut fault = None;
+    let mut wrong = None;
     let mut input = serde_json::Deserializer::from_str(text);
-    let fields = FieldsSeed { fault: &mut fault }
+    let fields = FieldsSeed { wrong: &mut wrong }
         .deserialize(&mut input)
         .and_then(|fields| input.end().map(|()| fields));
-    let mut fields = fields.map_err(|error| located(fault, &error))?;
+    let mut fields = fields.map_err(|error| located(text, wrong, &error))?;
     for field in FIELDS {
         if let Some(value) = field.default_value() {
             fields.entry(field.name).or_insert(value);
@@ -30,12 +30,26 @@
     Ok(fields)
 }
 
-/// Joins what was wrong with the place where reading stopped.
-fn located(fault: Option<FieldFault>, error: &serde_json::Error) -> SettingsFault {
-    let place = Place { line: error.line(), column: error.column() };
-    match fault {
-        Some(fault) => SettingsFault::Field { place: Some(place), fault },
-        None => SettingsFault::Syntax { place, cause: syntax_cause(error) },
+/// Returns the place of the field called `name`, or of its second occurrence.
+///
+/// A quoted name before a colon is always a field: inside of texts quotes are escaped.
+pub(crate) fn field_place(text: &str, name: &str, second: bool) -> Option<Place> {
+    let quoted = format!("\"{name}\"");
+    text.match_indices(&quoted)
+        .filter(|(at, _)| text[at + quoted.len()..].trim_start().starts_with(':'))
+        .nth(usize::from(second))
+        .map(|(at, _)| Place::at(text, at))
+}
+
+/// Joins what was wrong with its place; serde knows only where it stopped reading.
+fn located(text: &str, wrong: Option<WrongField>, error: &serde_json::Error) -> SettingsFault {
+    let stopped = Place { line: error.line(), column: error.column() };
+    match wrong {
+        Some(WrongField { fault, second }) => {
+            let place = field_place(text, &fault.field, second).or(Some(stopped));
+            SettingsFault::Field { place, fault }
+        }
+        None => SettingsFault::Syntax { place: stopped, cause: syntax_cause(error) },
     }
 }
 
@@ -48,9 +62,15 @@
     }
 }
 
+/// A wrong field, and whether it is the second of its name.
+struct WrongField {
+    fault: FieldFault,
+    second: bool,
+}
+
 /// Reads the object and keeps the first wrong field aside, since serde's errors are only text.
 struct FieldsSeed<'a> {
-    fault: &'a mut Option<FieldFault>,
+    wrong: &'a mut Option<WrongField>,
 }
 
 impl<'de> DeserializeSeed<'de> for FieldsSeed<'_> {
@@ -71,14 +91,16 @@
     fn visit_map<A: MapAccess<'de>>(self, mut entries: A) -> Result<Self::Value, A::Error> {
         let mut fields = Map::new();
         while let Some(name) = entries.next_key::<String>()? {
-            let field = find_field(&name).filter(|_| !fields.contains_key(&name));
-            let Some(field) = field else {
-                *self.fault = Some(FieldFault::unexpected(&name, fields.contains_key(&name)));
+            let second = fields.contains_key(&name);
+            let Some(field) = find_field(&name).filter(|_| !second) else {
+                let fault = FieldFault::unexpected(&name, second);
+                *self.wrong = Some(WrongField { fault, second });
                 return Err(A::Error::custom("unexpected field"));
             };
             let value: Value = entries.next_value()?;
             if !field.accepts(&value) {
-                *self.fault = Some(FieldFault::of_value(field, &value));
+                let fault = FieldFault::of_value(field, &value);
+                *self.wrong = Some(WrongField { fault, second });
                 return Err(A::Error::custom("wrong value"));
             }
             fields.insert(name, value);
--- a/lib/src/protocol/settings/error.rs
+++ b/lib/src/protocol/settings/error.rs
@@ -35,7 +35,7 @@
     },
     /// A field is wrong, missing or does not go with another.
     Field {
-        /// Where reading stopped; a missing field has no place.
+        /// Where the field stands; a missing field has no place.
         place: Option<Place>,
         /// What is wrong.
         fault: FieldFault,
