--- /dev/null
+++ b/cli/tests/test_check.rs
@@ -0,0 +1,184 @@
+//! `check`, `settings` and `hash-token` as an operator runs them.
+
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::Command;
+use std::process::Output;
+use std::process::Stdio;
+
+use test_case::test_case;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_wasabicrank");
+
+/// A run of the binary, and what it must lead to.
+struct Case {
+    arguments: &'static [&'static str],
+    input: &'static str,
+    code: i32,
+    stdout: &'static [&'static str],
+    stderr: &'static [&'static str],
+}
+
+const EMPTY: Case = Case { arguments: &[], input: "", code: 0, stdout: &[], stderr: &[] };
+
+/// Returns the folder of the examples.
+fn examples() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../examples")
+}
+
+/// Runs the binary in the folder of the examples.
+fn run(arguments: &[&str], input: &str) -> Output {
+    let mut child = Command::new(BINARY)
+        .args(arguments)
+        .current_dir(examples())
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    // A command that does not read its input may be gone already.
+    let _ = child.stdin.take().unwrap().write_all(input.as_bytes());
+    child.wait_with_output().unwrap()
+}
+
+#[test_case(Case { arguments: &["--version"], stdout: &["wasabicrank 0."], ..EMPTY }; "version")]
+#[test_case(Case {
+    arguments: &["--help"],
+    stdout: &["Examples:", "Error codes:", "hash-token"],
+    ..EMPTY
+}; "help")]
+#[test_case(Case {
+    arguments: &["check", "--help"],
+    stdout: &["Examples:", "wasabicrank check --rules cotisa.rules", "1 a file is wrong"],
+    ..EMPTY
+}; "help of check")]
+#[test_case(Case {
+    arguments: &["check", "--settings", "settings-cotisa.json", "--rules", "cotisa.rules"],
+    stdout: &["settings-cotisa.json: good: entry-a1", "cotisa.rules: good: 10 customers"],
+    ..EMPTY
+}; "good files")]
+#[test_case(Case { code: 2, stderr: &["no command is given"], ..EMPTY }; "no command")]
+#[test_case(Case {
+    arguments: &["chek"],
+    code: 2,
+    stderr: &["chek", "wasabicrank --help"],
+    ..EMPTY
+}; "unknown command")]
+#[test_case(Case { arguments: &["check"], code: 2, stderr: &["--rules"], ..EMPTY }; "no file")]
+#[test_case(Case {
+    arguments: &["check", "--rules"],
+    code: 2,
+    stderr: &["--rules"],
+    ..EMPTY
+}; "no value")]
+#[test_case(Case {
+    arguments: &["check", "--rules", "nowhere.rules", "--settings", "settings-cotisa.json"],
+    code: 1,
+    stdout: &["settings-cotisa.json: good"],
+    stderr: &["nowhere.rules: cannot be read: "],
+    ..EMPTY
+}; "no such rules")]
+#[test_case(Case {
+    arguments: &["check", "--settings", "cotisa.rules"],
+    code: 1,
+    stderr: &["cotisa.rules:1:1: not a JSON object: "],
+    ..EMPTY
+}; "rules for settings")]
+#[test_case(Case {
+    arguments: &["check", "--rules", "settings-cotisa.json"],
+    code: 1,
+    stderr: &["settings-cotisa.json:1:1: found `{`, expected one of `customer`"],
+    ..EMPTY
+}; "settings for rules")]
+#[test_case(Case {
+    arguments: &["hash-token"],
+    input: "example-token-of-cliniques-rosemont\n",
+    stdout: &["blake3:f4546588a25acc11abb685efd9c15f7819dcd8903dfb2f71cc2d160a81d8edcd"],
+    ..EMPTY
+}; "hash of a token")]
+#[test_case(Case {
+    arguments: &["hash-token"],
+    input: "short\n",
+    code: 1,
+    stderr: &["expected one token of 16 to 512 printable ASCII characters"],
+    ..EMPTY
+}; "short token")]
+#[test_case(Case {
+    arguments: &["hash-token"],
+    input: "two tokens in a row are wrong",
+    code: 1,
+    stderr: &["without blanks"],
+    ..EMPTY
+}; "blanks in a token")]
+fn test_command(case: Case) {
+    let output = run(case.arguments, case.input);
+    let stdout = String::from_utf8(output.stdout).unwrap();
+    let stderr = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(case.code), "{stdout}{stderr}");
+    assert_eq!(stdout.is_empty(), case.stdout.is_empty(), "{stdout}");
+    assert_eq!(stderr.is_empty(), case.stderr.is_empty(), "{stderr}");
+    for part in case.stdout {
+        assert!(stdout.contains(part), "{part} is not in {stdout}");
+    }
+    for part in case.stderr {
+        assert!(stderr.contains(part), "{part} is not in {stderr}");
+    }
+}
+
+#[test]
+fn test_examples_are_good() {
+    for entry in examples().read_dir().unwrap() {
+        let name = entry.unwrap().file_name().into_string().unwrap();
+        let option = if name.ends_with(".json") { "--settings" } else { "--rules" };
+        let output = run(&["check", option, &name], "");
+        assert!(output.status.success(), "{name}: {}", String::from_utf8_lossy(&output.stderr));
+    }
+}
+
+/// The tokens that the comments of the examples promise are those whose hashes stand there.
+#[test]
+fn test_example_tokens() {
+    for file in ["cotisa.rules", "astrebreizh.rules"] {
+        let rules = std::fs::read_to_string(examples().join(file)).unwrap();
+        let customers = rules.lines().filter_map(|line| line.strip_prefix("customer "));
+        for mut words in customers.map(|line| line.split_whitespace()) {
+            let name = words.next().unwrap();
+            let output = run(&["hash-token"], &format!("example-token-of-{name}"));
+            let hash = String::from_utf8(output.stdout).unwrap();
+            assert_eq!(words.nth(1), Some(hash.trim()), "{name}");
+        }
+    }
+}
+
+/// `settings --json` starts a file that lacks only a key.
+#[test]
+fn test_printed_settings_are_taken() {
+    let folder = std::env::temp_dir().join(format!("wasabicrank-check-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let (settings, key) = (folder.join("entry.json"), folder.join("peer.key"));
+    std::fs::write(&key, format!("{}\n", "5a".repeat(32))).unwrap();
+    let printed = String::from_utf8(run(&["settings", "--json"], "").stdout).unwrap();
+    std::fs::write(&settings, printed.replace("peer.key", key.to_str().unwrap())).unwrap();
+    let checked = run(&["check", "--settings", settings.to_str().unwrap()], "");
+    assert!(checked.status.success(), "{}", String::from_utf8_lossy(&checked.stderr));
+    let annotated = String::from_utf8(run(&["settings"], "").stdout).unwrap();
+    let fields = |text: &str| text.matches("\": ").count();
+    assert_eq!(fields(&annotated), fields(&printed) + 1, "only `peer_key` has no sample");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[test_case(&["settings"]; "settings")]
+#[test_case(&["--help"]; "help")]
+fn test_closed_pipe_is_no_failure(arguments: &[&str]) {
+    let mut child = Command::new(BINARY)
+        .args(arguments)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    drop(child.stdout.take());
+    let output = child.wait_with_output().unwrap();
+    assert!(output.status.success());
+    assert_eq!(String::from_utf8_lossy(&output.stderr), "");
+}
