check: close the pipe before the command starts in its test

The reader was closed after the start, so that a quick run could end before it: with the broken-pipe case taken out of output::print only one of the two cases failed.

--- a/cli/tests/test_check.rs
+++ b/cli/tests/test_check.rs
@@ -170,15 +170,15 @@
 #[test_case(&["settings"]; "settings")]
 #[test_case(&["--help"]; "help")]
 fn test_closed_pipe_is_no_failure(arguments: &[&str]) {
-    let mut child = Command::new(BINARY)
+    let (reader, writer) = std::io::pipe().unwrap();
+    drop(reader);
+    let output = Command::new(BINARY)
         .args(arguments)
         .stdin(Stdio::null())
-        .stdout(Stdio::piped())
+        .stdout(writer)
         .stderr(Stdio::piped())
-        .spawn()
+        .output()
         .unwrap();
-    drop(child.stdout.take());
-    let output = child.wait_with_output().unwrap();
     assert!(output.status.success());
     assert_eq!(String::from_utf8_lossy(&output.stderr), "");
 }
