state: keep memory for short prompts and lengths apart in five levels

Ruled out: a wait of two seconds added to full engines alone; it moved the crowd to the next engine.

Change: five length levels in place of three, with one long prompt read at a time in each; long prompts leave a tenth of the memory; the rate is sampled only when what was read outweighs what is partly read; loads are reported by level (a new field of EngineLoad, level_tokens).

--- a/lib/src/state/ask.rs
+++ b/lib/src/state/ask.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use super::engine_queue_order::LEVELS;
 use super::names::AttemptId;
 use super::names::CustomerName;
 use super::names::EngineName;
@@ -21,6 +22,8 @@
     pub short_tokens: u32,
     /// Prompt tokens of long requests that wait or are being read.
     pub long_tokens: u32,
+    /// Prompt tokens that wait or are being read, by length level, the shortest first.
+    pub level_tokens: [u32; LEVELS],
     /// Requests that wait or run.
     pub requests: u32,
     /// Memory that is reserved or held, in tokens.
--- a/lib/src/state/engine_queue.rs
+++ b/lib/src/state/engine_queue.rs
@@ -15,7 +15,9 @@
 use super::ask::FirstToken;
 use super::ask::Grant;
 use super::engine_queue_order::FairClock;
-use super::engine_queue_order::LengthClass;
+use super::engine_queue_order::LEVELS;
+use super::engine_queue_order::LONG_TOKENS;
+use super::engine_queue_order::LengthLevel;
 use super::engine_queue_order::Target;
 use super::engine_queue_policy::QueuePolicy;
 use super::engine_queue_rate::RateMeter;
@@ -23,7 +25,12 @@
 use super::engine_queue_ticket::ListedAttempt;
 use super::engine_queue_ticket::Suspect;
 use super::engine_queue_ticket::Ticket;
+use super::engine_queue_verdict::Verdict;
+use super::engine_queue_waiting::Place;
+use super::engine_queue_waiting::Waiting;
 use super::memory::MemoryAccount;
+use super::memory::long_memory;
+use super::memory_shares::Shares;
 use super::names::AttemptId;
 use super::names::EngineName;
 use super::names::Incarnation;
@@ -37,39 +44,6 @@
 /// The most asks that wait at one engine.
 const WAITING_MAX: usize = 4_096;
 
-/// What a dispatcher decided, and for whom.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Verdict {
-    /// Leave to start.
-    Grant {
-        /// The origin.
-        to: Incarnation,
-        /// The leave.
-        grant: Grant,
-    },
-    /// No leave.
-    Deny {
-        /// The origin.
-        to: Incarnation,
-        /// The refusal.
-        deny: Deny,
-    },
-}
-
-/// An ask that waits.
-#[derive(Debug, Clone)]
-struct Waiting {
-    from: Incarnation,
-    ask: Ask,
-    asked: Moment,
-    deadline: Moment,
-    class: LengthClass,
-    own: Duration,
-}
-
-/// The place of an ask in the queue.
-type Place = (Target, u64);
-
 /// The queue, memory account and observed rates of one engine.
 #[derive(Debug, Clone)]
 pub struct EngineQueue {
@@ -145,7 +119,7 @@
         let uncached = self.uncached(&ask);
         let own = Duration::from_secs_f64(f64::from(uncached) / self.meter.rate(now));
         let deadline = now + ask.left;
-        Waiting { from, asked: now, deadline, class: LengthClass::of(uncached), own, ask }
+        Waiting { from, asked: now, deadline, level: LengthLevel::of(uncached), own, ask }
     }
 
     fn uncached(&self, ask: &Ask) -> u32 {
@@ -158,15 +132,15 @@
 
     /// Returns why an ask that has just come is refused, if it is.
     fn refusal(&self, now: Moment, waiting: &Waiting) -> Option<Deny> {
-        let need = need(&waiting.ask);
+        let need = waiting.need();
         if !self.healthy {
             return Some(self.denial(waiting, Reason::TargetFailed, None));
         }
-        if need > self.memory.total() {
+        if need > self.bound(waiting) {
             return Some(self.denial(waiting, Reason::PromptTooLong, None));
         }
         if waiting.ask.segment {
-            let full = need > self.memory.free();
+            let full = need > self.shares().free_for(waiting.size());
             return full.then(|| self.denial(waiting, Reason::MemoryFull, Some(self.turnover())));
         }
         if self.waiting.len() >= WAITING_MAX {
@@ -179,18 +153,24 @@
         (!late.is_zero()).then(|| self.denial(waiting, reason, Some(late)))
     }
 
+    /// Returns what an ask may use of the engine's memory.
+    fn bound(&self, waiting: &Waiting) -> u32 {
+        let total = self.memory.total();
+        if waiting.size().is_long() { long_memory(total) } else { total }
+    }
+
     /// Returns the expected time until an ask's prefill starts.
     fn expected_wait(&self, now: Moment, waiting: &Waiting) -> Duration {
         let rate = self.meter.rate(now);
         let queued = self.waiting.values().filter(|other| self.goes_before(other, waiting));
         let queued: u64 = queued.map(|other| u64::from(self.uncached(&other.ask))).sum();
-        let reading = self.tickets.values().filter(|ticket| ticket.class <= waiting.class);
+        let reading = self.tickets.values().filter(|ticket| ticket.level <= waiting.level);
         let reading: u64 = reading.map(|ticket| u64::from(self.left_to_read(ticket, rate))).sum();
         Duration::from_secs_f64((queued + reading) as f64 / rate)
     }
 
     fn goes_before(&self, other: &Waiting, waiting: &Waiting) -> bool {
-        !self.policy.length_isolation || other.class <= waiting.class
+        !self.policy.length_isolation || other.level <= waiting.level
     }
 
     /// Returns the tokens that the engine still has to read for `ticket`.
@@ -198,6 +178,9 @@
         if !ticket.reading {
             return 0;
         }
+        if !ticket.metered {
+            return ticket.uncached;
+        }
         let passed = self.now.since(ticket.granted).as_secs_f64();
         let others = self.read_tokens.saturating_sub(ticket.read_before);
         let done = (passed * rate - others as f64).max(0.0);
@@ -212,7 +195,7 @@
     fn enqueue(&mut self, now: Moment, waiting: Waiting) {
         let ask = &waiting.ask;
         let arrived = Moment(now.0.saturating_sub(micros(ask.waited)));
-        let start = self.fair.enter(now, arrived, ask, waiting.class, waiting.own);
+        let start = self.fair.enter(now, arrived, ask, waiting.level, waiting.own);
         let target = if self.policy.length_isolation {
             Target::new(start, waiting.own, self.policy.age_factor, ask.priority)
         } else {
@@ -233,7 +216,7 @@
     fn remove_waiting(&mut self, now: Moment, attempt: AttemptId) -> Option<Waiting> {
         let place = self.places.remove(&attempt)?;
         let waiting = self.waiting.remove(&place)?;
-        self.fair.leave(now, &waiting.ask.customer, waiting.class);
+        self.fair.leave(now, &waiting.ask.customer, waiting.level);
         Some(waiting)
     }
 
@@ -245,9 +228,8 @@
         ticket.reading = false;
         let read = ask.prompt_tokens.saturating_sub(first.cached);
         self.prefixes.observe(now, &ask.blocks, first.cached);
-        let long = ticket.class == LengthClass::Long;
         if ticket.metered {
-            self.meter.end(now, ticket.uncached, Some(read), long);
+            self.meter.end(now, ticket.uncached, Some(read));
         }
         self.read_tokens += u64::from(read);
     }
@@ -267,7 +249,7 @@
         self.memory.release(attempt);
         let Some(ticket) = self.tickets.remove(&attempt) else { return };
         if ticket.reading && ticket.metered {
-            self.meter.end(now, ticket.uncached, read, ticket.class == LengthClass::Long);
+            self.meter.end(now, ticket.uncached, read);
         }
     }
 
@@ -372,28 +354,21 @@
 
     fn grant_next(&mut self, now: Moment) {
         let mut room = self.room();
-        // The first long ask past its target to which the memory is kept, with its need.
-        let mut kept_for: Option<u32> = None;
+        let mut memory = self.shares();
         let mut chosen = Vec::new();
-        let mut free = self.memory.free();
-        let short_held = self.short_held();
         for (place, waiting) in &self.waiting {
             if room.is_closed() {
                 break;
             }
-            let need = need(&waiting.ask);
-            let beside = kept_for.is_none_or(|kept| {
-                let both = u64::from(short_held) + u64::from(need) + u64::from(kept);
-                waiting.class != LengthClass::Long && both <= u64::from(self.memory.total())
-            });
-            if need > free || !beside {
-                if place.0.is_past(now) && kept_for.is_none() && need > free {
-                    kept_for = Some(need);
+            let (need, size) = (waiting.need(), waiting.size());
+            if !memory.fits(need, size) {
+                if place.0.is_past(now) {
+                    memory.keep(need, size);
                 }
                 continue;
             }
-            if room.take(waiting.class, self.uncached(&waiting.ask)) {
-                free -= need;
+            if room.take(waiting.level, self.uncached(&waiting.ask)) {
+                memory.take(need, size);
                 chosen.push(waiting.ask.attempt);
             } else if !self.policy.length_isolation {
                 break;
@@ -405,31 +380,38 @@
         }
     }
 
-    /// Returns the memory that short and medium tickets hold.
-    fn short_held(&self) -> u32 {
-        let short = self.tickets.iter().filter(|(_, ticket)| ticket.class != LengthClass::Long);
-        short.filter_map(|(attempt, _)| self.memory.part(*attempt)).sum()
+    /// Returns the free memory, with what prompts of each length hold.
+    fn shares(&self) -> Shares {
+        let mut held = [0u32; LEVELS];
+        for (attempt, ticket) in &self.tickets {
+            let Some(ask) = &ticket.ask else { continue };
+            let part = self.memory.part(*attempt).unwrap_or(0);
+            let sum = &mut held[LengthLevel::of(ask.prompt_tokens).index()];
+            *sum = sum.saturating_add(part);
+        }
+        Shares::new(&self.memory, held)
     }
 
-    /// Returns what may be released to the engine in each class.
+    /// Returns what may be released to the engine in each level.
     fn room(&self) -> Room {
         let mut room = Room::new(&self.policy);
-        for ticket in self.tickets.values().filter(|ticket| ticket.reading) {
-            room.count(ticket.class, ticket.uncached);
+        // A segment reads only after the earlier ones, so it keeps nobody else from starting.
+        for ticket in self.tickets.values().filter(|ticket| ticket.reading && ticket.metered) {
+            room.count(ticket.level, ticket.uncached);
         }
         room
     }
 
     fn grant(&mut self, now: Moment, waiting: Waiting) {
+        if self.memory.reserve(waiting.ask.attempt, waiting.need()).is_err() {
+            return;
+        }
         let ask = waiting.ask;
         let uncached = self.uncached(&ask);
         let metered = !ask.segment;
-        if self.memory.reserve(ask.attempt, need(&ask)).is_err() {
-            return;
-        }
-        let class = LengthClass::of(uncached);
+        let level = LengthLevel::of(uncached);
         if metered {
-            self.meter.begin(now, uncached, class == LengthClass::Long);
+            self.meter.begin(now, uncached);
         }
         let valid = if ask.segment { ask.left } else { self.policy.grant_valid };
         let grant = Grant {
@@ -441,7 +423,7 @@
         };
         let ticket = Ticket {
             from: waiting.from,
-            class,
+            level,
             uncached,
             granted: now,
             read_before: self.read_tokens,
@@ -467,17 +449,19 @@
     /// Returns the load to report to peers.
     pub fn load(&self) -> EngineLoad {
         let rate = self.meter.rate(self.now);
-        let queued = self.waiting.values().map(|w| (w.class, self.uncached(&w.ask)));
-        let reading = self.tickets.values().map(|t| (t.class, self.left_to_read(t, rate)));
-        let (mut short, mut long) = (0u32, 0u32);
-        for (class, tokens) in queued.chain(reading) {
-            let sum = if class == LengthClass::Long { &mut long } else { &mut short };
+        let queued = self.waiting.values().map(|w| (w.level, self.uncached(&w.ask)));
+        let reading = self.tickets.values().map(|t| (t.level, self.left_to_read(t, rate)));
+        let mut levels = [0u32; LEVELS];
+        for (level, tokens) in queued.chain(reading) {
+            let sum = &mut levels[level.index()];
             *sum = sum.saturating_add(tokens);
         }
+        let (short, long) = levels.split_at(LengthLevel::of(LONG_TOKENS).index());
         EngineLoad {
             engine: self.engine.clone(),
-            short_tokens: short,
-            long_tokens: long,
+            short_tokens: sum(short),
+            long_tokens: sum(long),
+            level_tokens: levels,
             requests: u32::try_from(self.waiting.len() + self.tickets.len()).unwrap_or(u32::MAX),
             held: self.memory.held(),
             memory: self.memory.total(),
@@ -489,9 +473,8 @@
     }
 }
 
-/// Returns the memory that an ask needs: the prompt and the whole answer that it may have.
-fn need(ask: &Ask) -> u32 {
-    ask.prompt_tokens.saturating_add(ask.output_tokens)
+fn sum(tokens: &[u32]) -> u32 {
+    tokens.iter().fold(0, |sum, tokens| sum.saturating_add(*tokens))
 }
 
 fn micros(span: Duration) -> u64 {
--- a/lib/src/state/engine_queue_order.rs
+++ b/lib/src/state/engine_queue_order.rs
@@ -23,31 +23,45 @@
 /// The most by which a customer's own load moves its asks back.
 const FAIR_MAX: Duration = Duration::from_secs(10);
 
-/// The length classes, which engines read beside each other.
+/// The number of length levels.
+pub const LEVELS: usize = 5;
+
+/// The longest prompt of each level but the last, in tokens.
+const LEVEL_BOUNDS: [u32; LEVELS - 1] = [SHORT_TOKENS, 16_384, LONG_TOKENS - 1, 131_072];
+
+/// The engine priority of each level for a request of normal priority.
+const LEVEL_PRIORITIES: [u8; LEVELS] = [8, 6, 5, 3, 1];
+
+/// How long a prompt is, roughly; engines read the prompts of a lower level first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum LengthClass {
-    /// At most `SHORT_TOKENS`.
-    Short,
-    /// Between the two bounds.
-    Medium,
-    /// At least `LONG_TOKENS`.
-    Long,
-}
+pub struct LengthLevel(u8);
 
-impl LengthClass {
-    /// Returns the class of a prompt of which `tokens` must be read.
+impl LengthLevel {
+    /// Returns the level of a prompt of which `tokens` must be read.
     ///
     /// ```
-    /// use wasabicrank_lib::state::LengthClass;
-    /// assert_eq!(LengthClass::of(1_000), LengthClass::Short);
-    /// assert_eq!(LengthClass::of(1_000_000), LengthClass::Long);
+    /// use wasabicrank_lib::state::LengthLevel;
+    /// assert!(LengthLevel::of(1_000) < LengthLevel::of(10_000));
+    /// assert!(LengthLevel::of(1_000_000).is_long());
     /// ```
-    pub fn of(tokens: u32) -> LengthClass {
-        match tokens {
-            0..=SHORT_TOKENS => LengthClass::Short,
-            LONG_TOKENS.. => LengthClass::Long,
-            _ => LengthClass::Medium,
-        }
+    pub fn of(tokens: u32) -> LengthLevel {
+        let below = LEVEL_BOUNDS.iter().filter(|bound| **bound < tokens).count();
+        LengthLevel(below as u8)
+    }
+
+    /// Returns the level's number, from zero.
+    pub fn index(self) -> usize {
+        usize::from(self.0)
+    }
+
+    /// Tells whether prompts of the level have at least `LONG_TOKENS`.
+    pub fn is_long(self) -> bool {
+        self >= LengthLevel::of(LONG_TOKENS)
+    }
+
+    /// Tells whether prompts of the level have at most `SHORT_TOKENS`.
+    pub fn is_short(self) -> bool {
+        self.0 == 0
     }
 }
 
@@ -59,14 +73,7 @@
 /// assert!(engine_priority(Priority::Low, 1_000) > engine_priority(Priority::High, 500_000));
 /// ```
 pub fn engine_priority(priority: Priority, tokens: u32) -> u8 {
-    #[expect(clippy::match_overlapping_arm, reason = "The first bound that holds decides.")]
-    let base = match tokens {
-        ..=SHORT_TOKENS => 8,
-        ..=16_384 => 6,
-        ..LONG_TOKENS => 4,
-        ..131_072 => 2,
-        _ => 1,
-    };
+    let base = LEVEL_PRIORITIES[LengthLevel::of(tokens).index()];
     match priority {
         Priority::Low => base - 1,
         Priority::Normal => base,
@@ -74,6 +81,10 @@
     }
 }
 
+/// The engine priority of the segments of a group, above that of other very long prompts: a
+/// group holds several engines' memory until its last segment is read.
+pub const SEGMENT_PRIORITY: u8 = 2;
+
 /// A target time, in microseconds of the dispatcher's clock; it may lie before the clock's start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct Target(i64);
@@ -109,10 +120,10 @@
 /// behind those that do not.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct FairClock {
-    lanes: BTreeMap<(CustomerName, LengthClass), Lane>,
+    lanes: BTreeMap<(CustomerName, LengthLevel), Lane>,
 }
 
-/// The asks of one customer in one length class.
+/// The asks of one customer in one length level.
 #[derive(Debug, Clone)]
 struct Lane {
     next: Moment,
@@ -127,11 +138,11 @@
         now: Moment,
         arrived: Moment,
         ask: &Ask,
-        class: LengthClass,
+        level: LengthLevel,
         own: Duration,
     ) -> Moment {
-        let weights = self.waiting_weight(class, &ask.customer, ask.weight);
-        let key = (ask.customer.clone(), class);
+        let weights = self.waiting_weight(level, &ask.customer, ask.weight);
+        let key = (ask.customer.clone(), level);
         let lane = self.lanes.entry(key).or_insert(Lane { next: now, waiting: 0, weight: 1 });
         lane.weight = ask.weight.max(1);
         lane.waiting += 1;
@@ -142,8 +153,8 @@
     }
 
     /// Counts an ask as waiting no more.
-    pub(crate) fn leave(&mut self, now: Moment, customer: &CustomerName, class: LengthClass) {
-        let key = (customer.clone(), class);
+    pub(crate) fn leave(&mut self, now: Moment, customer: &CustomerName, level: LengthLevel) {
+        let key = (customer.clone(), level);
         let Some(lane) = self.lanes.get_mut(&key) else { return };
         lane.waiting = lane.waiting.saturating_sub(1);
         if lane.waiting == 0 && lane.next <= now {
@@ -151,12 +162,12 @@
         }
     }
 
-    /// Returns the weight of all customers that wait in `class`, with that of `customer`.
-    fn waiting_weight(&self, class: LengthClass, customer: &CustomerName, weight: u32) -> u32 {
+    /// Returns the weight of all customers that wait in `level`, with that of `customer`.
+    fn waiting_weight(&self, level: LengthLevel, customer: &CustomerName, weight: u32) -> u32 {
         let others = self
             .lanes
             .iter()
-            .filter(|(key, lane)| key.1 == class && key.0 != *customer && lane.waiting > 0);
+            .filter(|(key, lane)| key.1 == level && key.0 != *customer && lane.waiting > 0);
         others.map(|(_, lane)| lane.weight).sum::<u32>().saturating_add(weight.max(1))
     }
 
--- a/lib/src/state/engine_queue_rate.rs
+++ b/lib/src/state/engine_queue_rate.rs
@@ -16,6 +16,12 @@
 /// The part of a new sample in the rate.
 const SAMPLE_PART: f64 = 0.4;
 
+/// How many times what is partly read a sample must have been read whole.
+const PARTLY_FACTOR: f64 = 4.0;
+
+/// The most by which one sample may be above the rate.
+const RISE_MAX: f64 = 1.5;
+
 /// The busy time from which unfinished prompts lower the rate.
 const OVERDUE_AFTER: Duration = Duration::from_millis(500);
 
@@ -36,7 +42,8 @@
     done: f64,
     reading: f64,
     count: u32,
-    longs: u32,
+    /// What was being read when the span began, part of which was read before it.
+    carried: f64,
 }
 
 impl RateMeter {
@@ -52,29 +59,26 @@
             done: 0.0,
             reading: 0.0,
             count: 0,
-            longs: 0,
+            carried: 0.0,
         }
     }
 
     /// Records that the engine starts to read `tokens`.
-    pub(crate) fn begin(&mut self, now: Moment, tokens: u32, long: bool) {
+    pub(crate) fn begin(&mut self, now: Moment, tokens: u32) {
         if self.count == 0 {
             self.restart(now);
         }
         self.count += 1;
-        self.longs += u32::from(long);
         self.reading += f64::from(tokens);
     }
 
     /// Records that `tokens` that were begun are not being read any more, with those that were read.
-    pub(crate) fn end(&mut self, now: Moment, tokens: u32, read: Option<u32>, long: bool) {
+    pub(crate) fn end(&mut self, now: Moment, tokens: u32, read: Option<u32>) {
         self.count = self.count.saturating_sub(1);
-        self.longs = self.longs.saturating_sub(u32::from(long));
         self.reading = (self.reading - f64::from(tokens)).max(0.0);
         let Some(read) = read else { return self.forget_idle(now) };
         self.done += f64::from(read);
-        let enough = if self.count == 0 { SAMPLE_MIN } else { SAMPLE_TOKENS };
-        if self.done >= enough && self.longs == 0 {
+        if self.is_enough() {
             self.sample(now);
         }
         self.forget_idle(now);
@@ -118,10 +122,20 @@
         (1_000.0 / self.interval.max(0.000_001)) as u32
     }
 
+    /// Tells whether what was read outweighs what is partly read at the ends of the span.
+    fn is_enough(&self) -> bool {
+        let partly = self.carried.max(self.reading);
+        if partly == 0.0 {
+            return self.done >= SAMPLE_MIN;
+        }
+        self.done >= SAMPLE_TOKENS.max(partly * PARTLY_FACTOR)
+    }
+
     fn sample(&mut self, now: Moment) {
         let busy = now.since(self.since).as_secs_f64();
         if busy > 0.0 {
-            self.rate += (self.done / busy - self.rate) * SAMPLE_PART;
+            let rate = (self.done / busy).min(self.rate * RISE_MAX);
+            self.rate += (rate - self.rate) * SAMPLE_PART;
             self.nominal = self.nominal.max(self.rate);
         }
         self.restart(now);
@@ -136,5 +150,6 @@
     fn restart(&mut self, now: Moment) {
         self.since = now;
         self.done = 0.0;
+        self.carried = self.reading;
     }
 }
--- a/lib/src/state/engine_queue_room.rs
+++ b/lib/src/state/engine_queue_room.rs
@@ -1,65 +1,52 @@
 //! The bound on prompt tokens that an engine has been given and has not read yet.
 
-use super::engine_queue_order::LengthClass;
+use super::engine_queue_order::LEVELS;
+use super::engine_queue_order::LengthLevel;
 use super::engine_queue_policy::QueuePolicy;
 
-/// What may still be released to the engine, by length class.
+/// What may still be released to the engine, by length level.
+///
+/// A level is open while less than its bound is being read, so that one prompt always fits; long
+/// prompts are read one at a time in each level.
 #[derive(Debug, Clone)]
 pub(crate) struct Room {
     isolate: bool,
-    short: Allowance,
-    medium: Allowance,
-    longs: u32,
-}
-
-/// Prompt tokens released and the bound on them.
-#[derive(Debug, Clone)]
-struct Allowance {
-    used: u32,
-    bound: u32,
-}
-
-impl Allowance {
-    pub(crate) fn is_open(&self) -> bool {
-        self.used < self.bound
-    }
+    used: [u32; LEVELS],
+    bounds: [u32; LEVELS],
 }
 
 impl Room {
     pub(crate) fn new(policy: &QueuePolicy) -> Room {
-        let short = Allowance { used: 0, bound: policy.short_released };
-        let medium = Allowance { used: 0, bound: policy.medium_released };
-        Room { isolate: policy.length_isolation, short, medium, longs: 0 }
+        let (short, medium) = (policy.short_released, policy.medium_released);
+        let bounds = [short, medium, medium, 1, 1];
+        Room { isolate: policy.length_isolation, used: [0; LEVELS], bounds }
     }
 
-    pub(crate) fn count(&mut self, class: LengthClass, tokens: u32) {
-        match class {
-            LengthClass::Short => self.short.used = self.short.used.saturating_add(tokens),
-            LengthClass::Medium => self.medium.used = self.medium.used.saturating_add(tokens),
-            LengthClass::Long => self.longs += 1,
-        }
+    /// Counts tokens that are being read.
+    pub(crate) fn count(&mut self, level: LengthLevel, tokens: u32) {
+        let used = &mut self.used[level.index()];
+        *used = used.saturating_add(tokens);
     }
 
     /// Takes room for an ask; tells whether there was any.
-    pub(crate) fn take(&mut self, class: LengthClass, tokens: u32) -> bool {
-        let open = match class {
-            _ if !self.isolate => self.is_idle(),
-            LengthClass::Short => self.short.is_open(),
-            LengthClass::Medium => self.medium.is_open(),
-            LengthClass::Long => self.longs == 0,
-        };
+    pub(crate) fn take(&mut self, level: LengthLevel, tokens: u32) -> bool {
+        let open = if self.isolate { self.is_open(level.index()) } else { self.all_open() };
         if open {
-            self.count(class, tokens);
+            self.count(level, tokens);
         }
         open
     }
 
-    /// Tells whether little enough is being read, over all classes, to release the next in line.
-    pub(crate) fn is_idle(&self) -> bool {
-        self.longs == 0 && self.short.is_open() && self.medium.is_open()
+    /// Tells whether nothing more can be released.
+    pub(crate) fn is_closed(&self) -> bool {
+        (0..LEVELS).all(|level| !self.is_open(level))
     }
 
-    pub(crate) fn is_closed(&self) -> bool {
-        !self.short.is_open() && !self.medium.is_open() && self.longs > 0
+    fn is_open(&self, level: usize) -> bool {
+        self.used[level] < self.bounds[level]
+    }
+
+    fn all_open(&self) -> bool {
+        (0..LEVELS).all(|level| self.is_open(level))
     }
 }
--- a/lib/src/state/engine_queue_ticket.rs
+++ b/lib/src/state/engine_queue_ticket.rs
@@ -1,7 +1,7 @@
 //! Tickets: the attempts that a dispatcher gave leave to, until the engine holds nothing for them.
 
 use super::ask::Ask;
-use super::engine_queue_order::LengthClass;
+use super::engine_queue_order::LengthLevel;
 use super::names::AttemptId;
 use super::names::Incarnation;
 use super::time::Moment;
@@ -33,8 +33,8 @@
     pub(crate) from: Incarnation,
     /// The ask; `None` for an attempt adopted from the engine's listing.
     pub(crate) ask: Option<Ask>,
-    /// The length class that it was granted in.
-    pub(crate) class: LengthClass,
+    /// The length level that it was granted in.
+    pub(crate) level: LengthLevel,
     /// The tokens that the engine was expected to read.
     pub(crate) uncached: u32,
     /// When it was granted.
@@ -59,7 +59,7 @@
         Ticket {
             from: owner,
             ask: None,
-            class: LengthClass::Short,
+            level: LengthLevel::of(0),
             uncached: 0,
             granted: now,
             read_before: 0,
--- /dev/null
+++ b/lib/src/state/engine_queue_verdict.rs
@@ -0,0 +1,24 @@
+//! What a dispatcher decided.
+
+use super::ask::Deny;
+use super::ask::Grant;
+use super::names::Incarnation;
+
+/// What a dispatcher decided, and for whom.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Verdict {
+    /// Leave to start.
+    Grant {
+        /// The origin.
+        to: Incarnation,
+        /// The leave.
+        grant: Grant,
+    },
+    /// No leave.
+    Deny {
+        /// The origin.
+        to: Incarnation,
+        /// The refusal.
+        deny: Deny,
+    },
+}
--- a/lib/src/state/memory.rs
+++ b/lib/src/state/memory.rs
@@ -7,6 +7,18 @@
 
 use super::names::AttemptId;
 
+/// The part of an engine's memory that long prompts leave to others: one in this many.
+const SHORT_KEEP_PART: u32 = 10;
+
+/// Returns what long prompts may use of an engine's memory of `total` tokens.
+///
+/// ```
+/// assert_eq!(wasabicrank_lib::state::long_memory(400_000), 360_000);
+/// ```
+pub fn long_memory(total: u32) -> u32 {
+    total - total / SHORT_KEEP_PART
+}
+
 /// Says that a reservation does not fit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NoRoom {
--- a/lib/src/state/placement.rs
+++ b/lib/src/state/placement.rs
@@ -13,9 +13,10 @@
 use rand::rngs::SmallRng;
 
 use super::ask::EngineLoad;
-use super::engine_queue_order::LengthClass;
+use super::engine_queue_order::LengthLevel;
 use super::event::Considered;
 use super::event::LeftOut;
+use super::memory::long_memory;
 use super::names::EngineName;
 use super::names::ModelName;
 use super::names::ZoneName;
@@ -256,7 +257,8 @@
     ) -> PlacementChoice {
         self.reserve.observe(now, query.prompt_tokens);
         let need = query.prompt_tokens.saturating_add(query.output_tokens);
-        let largest = candidates.iter().filter(|c| c.live).map(|c| c.memory).max().unwrap_or(0);
+        let largest =
+            candidates.iter().filter(|c| c.live).map(|c| long_memory(c.memory)).max().unwrap_or(0);
         if need > largest && largest > 0 {
             return self.choose_group(now, query, candidates, largest);
         }
@@ -326,7 +328,8 @@
             estimate += self.settings.zone_distance * 2;
         }
         let need = query.prompt_tokens.saturating_add(query.output_tokens);
-        estimate += view_or.memory_wait(need);
+        let long = LengthLevel::of(query.prompt_tokens).is_long();
+        estimate += view_or.memory_wait(need, long);
         let left_out = self.left_out(now, query, candidate, view, cutoff);
         (estimate, left_out)
     }
@@ -357,7 +360,9 @@
         if view.is_some_and(|view| !view.has_model(query.model)) {
             return Some(LeftOut::NoModel);
         }
-        if need > candidate.memory {
+        let long = LengthLevel::of(query.prompt_tokens).is_long();
+        let bound = if long { long_memory(candidate.memory) } else { candidate.memory };
+        if need > bound {
             return Some(LeftOut::NoMemory);
         }
         if self.is_reserved(query, candidate, cutoff) {
@@ -369,7 +374,7 @@
 
     /// Tells whether an engine is kept for requests of another length.
     fn is_reserved(&self, query: &PlacementQuery, candidate: &Candidate, cutoff: u64) -> bool {
-        let long = LengthClass::of(query.prompt_tokens) == LengthClass::Long;
+        let long = LengthLevel::of(query.prompt_tokens).is_long();
         match candidate.role {
             EngineRole::Short => long,
             EngineRole::Long => !long,
@@ -429,8 +434,8 @@
         let usable = options.iter().filter(|option| option.left_out.is_none());
         let free = usable.map(|option| {
             let view = self.views.get(&option.candidate.engine);
-            let free = view.map_or(option.candidate.memory, |view| view.free());
-            (option.candidate, free.min(option.candidate.memory))
+            let bound = long_memory(option.candidate.memory);
+            (option.candidate, view.map_or(bound, |view| view.free_for_long()).min(bound))
         });
         let free: Vec<(&Candidate, u32)> = free.collect();
         let placement = plan_group(query, &free, largest);
--- a/lib/src/state/placement_estimate.rs
+++ b/lib/src/state/placement_estimate.rs
@@ -1,21 +1,34 @@
 //! What one entry host believes of an engine, and the time to the first token that follows.
 
 use std::collections::VecDeque;
+use std::ops::RangeBounds;
+use std::slice::SliceIndex;
 use std::time::Duration;
 
 use super::ask::EngineLoad;
-use super::engine_queue_order::LengthClass;
+use super::engine_queue_order::LEVELS;
+use super::engine_queue_order::LengthLevel;
+use super::memory::long_memory;
 use super::names::ModelName;
 use super::placement::PlacerSettings;
 use super::prefix::PrefixIndex;
 use super::request::PrefixHash;
 use super::time::Moment;
 
+/// The wait at an engine that has no room at all just now.
+const MEMORY_WAIT: Duration = Duration::from_millis(500);
+
+/// The same for a long prompt.
+const MEMORY_WAIT_LONG: Duration = Duration::from_secs(2);
+
 /// The time in which an engine's held memory turns over, to weigh engines that are full.
 const MEMORY_TURNOVER: Duration = Duration::from_secs(30);
 
-/// The cost to a short request of a long prompt that is read beside it.
-const BESIDE_LONG: Duration = Duration::from_millis(30);
+/// The cost of a longer prompt that is read beside.
+const BESIDE_LONGER: Duration = Duration::from_millis(30);
+
+/// The placements remembered for one engine between two of its reports.
+const PLACED_MAX: usize = 256;
 
 /// The prefixes that one entry host remembers to have placed.
 const PREFIXES_MAX: usize = 65_536;
@@ -72,6 +85,9 @@
     /// Counts a prompt that was placed here.
     pub(crate) fn placed(&mut self, now: Moment, tokens: u32) {
         self.placed.push_back(Placed { at: now, tokens });
+        if self.placed.len() > PLACED_MAX {
+            self.placed.pop_front();
+        }
     }
 
     /// Tells whether the engine answered its dispatcher.
@@ -89,18 +105,30 @@
         self.reported.as_ref().is_some_and(|(at, _)| now.since(*at) > after)
     }
 
+    /// Returns the memory that is free for long prompts, in tokens.
+    pub(crate) fn free_for_long(&self) -> u32 {
+        let total = self.reported.as_ref().map_or(0, |(_, load)| load.memory);
+        self.free().saturating_sub(total - long_memory(total))
+    }
+
     /// Returns the memory that is free, in tokens.
-    pub(crate) fn free(&self) -> u32 {
+    fn free(&self) -> u32 {
         let placed: u32 = self.placed.iter().map(|placed| placed.tokens).sum();
         let load = self.reported.as_ref().map(|(_, load)| load);
         load.map_or(u32::MAX, |load| load.memory.saturating_sub(load.held).saturating_sub(placed))
     }
 
     /// Returns the expected wait until `need` tokens of memory are free.
-    pub(crate) fn memory_wait(&self, need: u32) -> Duration {
+    pub(crate) fn memory_wait(&self, need: u32, long: bool) -> Duration {
         let Some((_, load)) = &self.reported else { return Duration::ZERO };
-        let missing = need.saturating_sub(self.free());
-        MEMORY_TURNOVER.mul_f64(f64::from(missing) / f64::from(load.memory.max(1)))
+        let free = if long { self.free_for_long() } else { self.free() };
+        let missing = need.saturating_sub(free);
+        if missing == 0 {
+            return Duration::ZERO;
+        }
+        let part = f64::from(missing) / f64::from(load.memory.max(1));
+        let wait = if long { MEMORY_WAIT_LONG } else { MEMORY_WAIT };
+        wait + MEMORY_TURNOVER.mul_f64(part)
     }
 
     /// Returns the expected time until a prompt of which `read` tokens are not cached has its first
@@ -111,33 +139,36 @@
         read: u32,
         settings: &PlacerSettings,
     ) -> Duration {
-        let class = LengthClass::of(read);
+        let level = LengthLevel::of(read);
         let rate = f64::from(self.rate);
-        let queue = self.queue(now, class, settings);
+        let last = if settings.length_isolation { level.index() } else { LEVELS - 1 };
+        let queue = self.queue(now, ..=last, settings);
         let time = Duration::from_secs_f64((queue + f64::from(read)) / rate);
-        let beside = class != LengthClass::Long && self.has_long(settings);
-        if beside { time + BESIDE_LONG } else { time }
-    }
-
-    /// Returns the tokens that are read before a prompt of `class`.
-    fn queue(&self, now: Moment, class: LengthClass, settings: &PlacerSettings) -> f64 {
-        let all = class == LengthClass::Long || !settings.length_isolation;
-        let mut queue = 0.0;
-        if let Some((at, load)) = self.reported.as_ref().filter(|_| settings.peer_reports) {
-            let drained = now.since(*at).as_secs_f64() * f64::from(self.rate);
-            let long = if all { f64::from(load.long_tokens) } else { 0.0 };
-            queue += (f64::from(load.short_tokens) + long - drained).max(0.0);
-        }
-        queue + self.own_queue(now, all)
+        if self.queue(now, last + 1.., settings) > 0.0 { time + BESIDE_LONGER } else { time }
+    }
+
+    /// Returns the tokens of the given levels that are not read yet.
+    fn queue(
+        &self,
+        now: Moment,
+        levels: impl RangeBounds<usize> + SliceIndex<[u32], Output = [u32]>,
+        settings: &PlacerSettings,
+    ) -> f64 {
+        let own = self.own_queue(now, &levels);
+        let reported = self.reported.as_ref().filter(|_| settings.peer_reports);
+        let Some((at, load)) = reported else { return own };
+        let drained = now.since(*at).as_secs_f64() * f64::from(self.rate);
+        let queued = load.level_tokens[levels].iter().map(|tokens| f64::from(*tokens)).sum::<f64>();
+        own + (queued - drained).max(0.0)
     }
 
     /// Returns the tokens of the host's own placements that are not read yet.
-    fn own_queue(&self, now: Moment, all: bool) -> f64 {
+    fn own_queue(&self, now: Moment, levels: &impl RangeBounds<usize>) -> f64 {
         let rate = f64::from(self.rate);
         let counted = self
             .placed
             .iter()
-            .filter(|placed| all || LengthClass::of(placed.tokens) != LengthClass::Long);
+            .filter(|placed| levels.contains(&LengthLevel::of(placed.tokens).index()));
         let mut free_at = 0.0f64;
         for placed in counted {
             let at = placed.at.0 as f64 / 1e6;
@@ -145,12 +176,6 @@
         }
         (free_at - now.0 as f64 / 1e6).max(0.0) * rate
     }
-
-    fn has_long(&self, settings: &PlacerSettings) -> bool {
-        let reported = self.reported.as_ref().filter(|_| settings.peer_reports);
-        let placed = self.placed.iter().any(|p| LengthClass::of(p.tokens) == LengthClass::Long);
-        placed || reported.is_some_and(|(_, load)| load.long_tokens > 0)
-    }
 }
 
 /// The prefixes that this entry host knows to be at engines, and those that it has seen at all.
--- a/lib/src/state/placement_reserve.rs
+++ b/lib/src/state/placement_reserve.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::engine_queue_order::LengthClass;
+use super::engine_queue_order::LengthLevel;
 use super::placement::Candidate;
 use super::time::Moment;
 
@@ -34,7 +34,7 @@
         self.all *= decay;
         self.updated = self.updated.max(now);
         self.all += f64::from(tokens);
-        if LengthClass::of(tokens) != LengthClass::Long {
+        if !LengthLevel::of(tokens).is_long() {
             self.short += f64::from(tokens);
         }
     }
--- a/lib/testutils/src/replay_fleet.rs
+++ b/lib/testutils/src/replay_fleet.rs
@@ -121,6 +121,13 @@
         /// The engine.
         engine: usize,
     },
+    /// A request that found no group with room is placed again.
+    PlaceAgain {
+        /// The origin.
+        host: usize,
+        /// The request.
+        request: usize,
+    },
     /// A request's deadline.
     Deadline(usize),
     /// A peer or engine that was lost is noticed by all.
@@ -325,6 +332,9 @@
                     self.hosts[to].placer.report(made, load);
                 }
             }
+            FleetMessage::PlaceAgain { host, request } if !is_lost(host) => {
+                self.place_again(host, request, link);
+            }
             FleetMessage::Deadline(request) => self.deadline(request, link),
             FleetMessage::LossSeen => self.loss_seen(link),
             FleetMessage::Verdict { to, verdict } if !is_lost(to) => {
--- a/lib/testutils/src/replay_origin.rs
+++ b/lib/testutils/src/replay_origin.rs
@@ -14,6 +14,7 @@
 use wasabicrank_lib::state::PlacementQuery;
 use wasabicrank_lib::state::Priority;
 use wasabicrank_lib::state::Reason;
+use wasabicrank_lib::state::SEGMENT_PRIORITY;
 use wasabicrank_lib::state::SegmentPlan;
 use wasabicrank_lib::state::Verdict;
 use wasabicrank_lib::state::engine_priority;
@@ -40,6 +41,9 @@
 /// The engines that one request is tried at.
 const TRIES_MAX: u32 = 4;
 
+/// How long a prompt waits before a group is looked for again.
+const GROUP_RETRY: Duration = Duration::from_secs(2);
+
 /// The priority of every request when lengths are not kept apart.
 const PLAIN_PRIORITY: u8 = 5;
 
@@ -66,6 +70,19 @@
         self.place(host, request, 1, Vec::new(), link);
     }
 
+    /// Places a request again that found no group with room.
+    pub(crate) fn place_again(
+        &mut self,
+        host: usize,
+        request: usize,
+        link: &mut Link<FleetMessage>,
+    ) {
+        // Attempts of the earlier groups must not be taken for this one's.
+        let waited = link.now.since(link.arrivals[request].at).as_secs();
+        let number = 10 * (1 + u32::try_from(waited).unwrap_or(u32::MAX));
+        self.place(host, request, number, Vec::new(), link);
+    }
+
     fn place(
         &mut self,
         host: usize,
@@ -91,10 +108,21 @@
                 self.ask(host, request, number, engine, tried, link);
             }
             Placement::Group(plans) => self.start_group(host, request, number, plans, link),
+            Placement::Refuse { reason: Reason::MemoryFull, .. }
+                if self.may_wait(request, link) =>
+            {
+                link.send(GROUP_RETRY, FleetMessage::PlaceAgain { host, request });
+            }
             Placement::Refuse { reason, .. } => link.end(request, refused(reason)),
         }
     }
 
+    /// Tells whether a prompt for which no group has room is placed again later.
+    fn may_wait(&self, request: usize, link: &Link<FleetMessage>) -> bool {
+        let arrival = &link.arrivals[request];
+        link.now.since(arrival.at) < arrival.patience / 4
+    }
+
     fn ask(
         &mut self,
         host: usize,
@@ -459,6 +487,11 @@
             GroupAction::Refuse(refusal) if refusal.reason == Reason::DeadlinePassed => {
                 link.end(request, End::Missed);
             }
+            GroupAction::Refuse(refusal)
+                if refusal.reason == Reason::MemoryFull && self.may_wait(request, link) =>
+            {
+                link.send(GROUP_RETRY, FleetMessage::PlaceAgain { host, request });
+            }
             GroupAction::Refuse(refusal) => link.end(request, refused(refusal.reason)),
         }
     }
@@ -474,7 +507,7 @@
         let order = Order {
             attempt,
             owner: incarnation(host),
-            priority: self.priority(plan.tokens),
+            priority: SEGMENT_PRIORITY,
             prompt_tokens: plan.tokens,
             blocks: Vec::new(),
             work,
