--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -2,7 +2,10 @@
 
 pub(crate) mod caller_api;
 pub(crate) mod engine_api;
+pub(crate) mod event_text;
+pub(crate) mod event_wire;
 pub(crate) mod frame;
+pub(crate) mod operator_api;
 pub(crate) mod peer_wire;
 pub(crate) mod place;
 pub(crate) mod platform_api;
@@ -10,8 +13,12 @@
 pub(crate) mod rules_text;
 pub(crate) mod settings;
 pub(crate) mod spelling;
+pub(crate) mod why;
 
+pub use event_text::*;
+pub use event_wire::*;
 pub use frame::*;
+pub use operator_api::*;
 pub use peer_wire::*;
 pub use place::*;
 pub use rules_reader::RulesReader;
@@ -23,3 +30,4 @@
 pub use rules_text::RuleFault;
 pub use rules_text::parse as parse_rules;
 pub use settings::*;
+pub use why::*;
--- a/lib/src/state/event.rs
+++ b/lib/src/state/event.rs
@@ -82,3 +82,38 @@
     /// A planned stop ended, with the streams that were cut.
     StopEnded { cut: u32 },
 }
+
+impl Event {
+    /// Returns the request that the event is about, if it is about one.
+    ///
+    /// ```
+    /// use wasabicrank_lib::state::Event;
+    /// assert_eq!(Event::StopBegan.request(), None);
+    /// ```
+    pub fn request(&self) -> Option<RequestId> {
+        match self {
+            Event::Admitted { request, .. }
+            | Event::Completed { request, .. }
+            | Event::Refused { request, .. }
+            | Event::CallSent { request, .. }
+            | Event::CallForwarded { request, .. } => Some(*request),
+            Event::Placed { attempt, .. }
+            | Event::Queued { attempt, .. }
+            | Event::Granted { attempt, .. }
+            | Event::Denied { attempt, .. }
+            | Event::FirstToken { attempt, .. }
+            | Event::Moved { attempt, .. }
+            | Event::OrphanCancelled { attempt, .. } => Some(attempt.request),
+            Event::PeerSuspected { .. }
+            | Event::PeerAlive { .. }
+            | Event::TargetChanged { .. }
+            | Event::ConfigAccepted { .. }
+            | Event::ConfigRefused { .. }
+            | Event::LeaseGained { .. }
+            | Event::LeaseLost { .. }
+            | Event::OrderSent { .. }
+            | Event::StopBegan
+            | Event::StopEnded { .. } => None,
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/transport/metrics.rs
@@ -0,0 +1,383 @@
+//! Metrics in the text format that Prometheus reads, with names and units by its conventions.
+//!
+//! Events feed counters and histograms as they happen; gauges are renewed from each snapshot of
+//! the core.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+use prometheus_client::registry::Unit;
+
+use crate::coordination::NodeStatus;
+use crate::state::AttemptId;
+use crate::state::EngineLoad;
+use crate::state::Event;
+use crate::state::Refusal;
+use crate::state::RequestId;
+
+use super::LinkCounters;
+use super::PeerCounters;
+
+/// The longest prompts of each length bucket, in tokens, with the bucket's label.
+const LENGTHS: [(u32, &str); 6] = [
+    (1024, "1k"),
+    (4 * 1024, "4k"),
+    (16 * 1024, "16k"),
+    (64 * 1024, "64k"),
+    (256 * 1024, "256k"),
+    (1024 * 1024, "1m"),
+];
+/// The label of prompts that are longer than every bucket.
+const OVER_LENGTHS: &str = "over_1m";
+/// The upper bounds of the time to the first token, in seconds.
+const FIRST_TOKEN_BOUNDS: [f64; 14] =
+    [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.7, 2.5, 5.0, 10.0, 30.0, 60.0, 120.0];
+/// The upper bounds of the slowdown.
+const SLOWDOWN_BOUNDS: [f64; 9] = [1.05, 1.1, 1.2, 1.3, 1.5, 2.0, 3.0, 5.0, 10.0];
+/// How many open requests are followed for their length and their wait.
+const MAX_OPEN: usize = 65_536;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LengthLabel {
+    prompt: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RefusalLabel {
+    reason: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EngineLabel {
+    engine: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct QueueLabel {
+    engine: String,
+    length: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LinkLabel {
+    link: &'static str,
+    direction: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabel {
+    cause: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StateLabel {
+    state: &'static str,
+}
+
+type BoundedHistogram = Family<LengthLabel, Histogram, fn() -> Histogram>;
+
+/// What is remembered of a request until it ends.
+#[derive(Debug, Clone, Copy, Default)]
+struct OpenRequest {
+    prompt_tokens: u32,
+    queued: Duration,
+}
+
+/// Counters and histograms that events feed.
+struct EventMetrics {
+    requests: Counter,
+    completed: Counter,
+    tokens: Counter,
+    moves: Counter,
+    orphans: Counter,
+    orders: Counter,
+    refusals: Family<RefusalLabel, Counter>,
+    first_token: BoundedHistogram,
+    slowdown: BoundedHistogram,
+}
+
+/// Gauges and totals that snapshots feed.
+#[derive(Default)]
+struct SnapshotMetrics {
+    open: Gauge,
+    ready: Gauge,
+    shards: Gauge,
+    config: Gauge,
+    config_age: Gauge,
+    refused_config: Gauge,
+    list: Gauge,
+    peers: Family<StateLabel, Gauge>,
+    held: Family<EngineLabel, Gauge>,
+    memory: Family<EngineLabel, Gauge>,
+    waiting: Family<QueueLabel, Gauge>,
+    drops: Family<CauseLabel, Counter>,
+    bytes: Family<LinkLabel, Counter>,
+    messages: Family<LinkLabel, Counter>,
+}
+
+/// The metrics of one process.
+pub struct Metrics {
+    registry: Registry,
+    events: EventMetrics,
+    snapshot: SnapshotMetrics,
+    open: Mutex<HashMap<RequestId, OpenRequest>>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Metrics::new()
+    }
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    ///
+    /// ```
+    /// use wasabicrank_lib::state::Event;
+    /// use wasabicrank_lib::transport::Metrics;
+    /// let metrics = Metrics::new();
+    /// metrics.observe(&Event::StopBegan);
+    /// assert!(metrics.text().contains("wasabicrank_requests_total 0"));
+    /// ```
+    pub fn new() -> Metrics {
+        let mut registry = Registry::with_prefix("wasabicrank");
+        let events = EventMetrics::register(&mut registry);
+        let snapshot = SnapshotMetrics::default();
+        snapshot.register(&mut registry);
+        Metrics { registry, events, snapshot, open: Mutex::default() }
+    }
+
+    /// Takes an event into account.
+    pub fn observe(&self, event: &Event) {
+        match event {
+            Event::Admitted { request, prompt_tokens, .. } => {
+                self.events.requests.inc();
+                self.follow(*request, *prompt_tokens);
+            }
+            Event::Granted { attempt, queued, .. } => self.note_wait(attempt, *queued),
+            Event::FirstToken { attempt, after, .. } => self.note_first(attempt, *after),
+            Event::Moved { .. } => {
+                self.events.moves.inc();
+            }
+            Event::Completed { request, tokens, .. } => {
+                self.events.completed.inc();
+                self.events.tokens.inc_by(u64::from(*tokens));
+                self.forget(*request);
+            }
+            Event::Refused { request, refusal } => {
+                self.events.refusals.get_or_create(&RefusalLabel::from(refusal)).inc();
+                self.forget(*request);
+            }
+            Event::OrphanCancelled { .. } => {
+                self.events.orphans.inc();
+            }
+            Event::OrderSent { .. } => {
+                self.events.orders.inc();
+            }
+            _ => {}
+        }
+    }
+
+    /// Renews the gauges from a snapshot; `shed` is what the rings into the core have shed.
+    pub fn record(&self, status: &NodeStatus, links: &PeerCounters, shed: u64) {
+        let gauges = &self.snapshot;
+        gauges.open.set(signed(status.open as u64));
+        gauges.ready.set(i64::from(status.ready));
+        gauges.shards.set(signed(status.shards.len() as u64));
+        gauges.config.set(signed(status.config.version));
+        gauges.config_age.set(signed(status.config.age.as_secs()));
+        let refused = status.config.refused.as_ref().map_or(0, |refused| refused.version);
+        gauges.refused_config.set(signed(refused));
+        gauges.list.set(signed(status.list));
+        gauges.record_peers(status);
+        gauges.record_engines(status);
+        gauges.record_links(links, shed);
+    }
+
+    /// Returns all metrics as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing into a string does not fail; an encoder that did would leave the text short.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+
+    fn follow(&self, request: RequestId, prompt_tokens: u32) {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        if open.len() < MAX_OPEN {
+            open.insert(request, OpenRequest { prompt_tokens, queued: Duration::ZERO });
+        }
+    }
+
+    fn forget(&self, request: RequestId) {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&request);
+    }
+
+    fn note_wait(&self, attempt: &AttemptId, queued: Duration) {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(request) = open.get_mut(&attempt.request) {
+            request.queued += queued;
+        }
+    }
+
+    /// Notes the first token of a request; later attempts go on with an answer that has begun.
+    fn note_first(&self, attempt: &AttemptId, after: Duration) {
+        let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(request) = open.get(&attempt.request).copied() else { return };
+        drop(open);
+        let label = LengthLabel { prompt: length_label(request.prompt_tokens) };
+        self.events.first_token.get_or_create(&label).observe(after.as_secs_f64());
+        let alone = after.saturating_sub(request.queued);
+        if !alone.is_zero() {
+            let slowdown = after.as_secs_f64() / alone.as_secs_f64();
+            self.events.slowdown.get_or_create(&label).observe(slowdown);
+        }
+    }
+}
+
+impl EventMetrics {
+    fn register(registry: &mut Registry) -> EventMetrics {
+        let first_token: BoundedHistogram =
+            Family::new_with_constructor(|| Histogram::new(FIRST_TOKEN_BOUNDS));
+        let slowdown: BoundedHistogram =
+            Family::new_with_constructor(|| Histogram::new(SLOWDOWN_BOUNDS));
+        let metrics = EventMetrics {
+            requests: Counter::default(),
+            completed: Counter::default(),
+            tokens: Counter::default(),
+            moves: Counter::default(),
+            orphans: Counter::default(),
+            orders: Counter::default(),
+            refusals: Family::default(),
+            first_token,
+            slowdown,
+        };
+        let m = &metrics;
+        registry.register("requests", "Requests admitted", m.requests.clone());
+        registry.register("completed_requests", "Requests answered whole", m.completed.clone());
+        registry.register("answer_tokens", "Tokens of whole answers", m.tokens.clone());
+        registry.register("moves", "Attempts that moved to another engine", m.moves.clone());
+        registry.register("orphans_cancelled", "Orphans cancelled", m.orphans.clone());
+        registry.register("orders", "Orders sent to engines", m.orders.clone());
+        registry.register("refusals", "Requests refused or failed", m.refusals.clone());
+        registry.register_with_unit(
+            "first_token",
+            "Time to the first token",
+            Unit::Seconds,
+            m.first_token.clone(),
+        );
+        registry.register_with_unit(
+            "slowdown",
+            "Time to the first token over the same without the wait in engines' queues",
+            Unit::Ratios,
+            m.slowdown.clone(),
+        );
+        metrics
+    }
+}
+
+impl SnapshotMetrics {
+    fn register(&self, registry: &mut Registry) {
+        let tokens = || Unit::Other("tokens".to_owned());
+        registry.register("open_requests", "Requests without a final answer", self.open.clone());
+        registry.register("ready", "Whether new requests are welcome", self.ready.clone());
+        registry.register("led_shards", "Shards of keys that are led here", self.shards.clone());
+        registry.register("config_version", "Configuration in force", self.config.clone());
+        let refused = self.refused_config.clone();
+        registry.register("refused_config_version", "Newest configuration refused", refused);
+        registry.register("live_list_version", "Live list in use", self.list.clone());
+        registry.register("peers", "Peers by their state", self.peers.clone());
+        registry.register("drops", "What was shed or dropped, by cause", self.drops.clone());
+        registry.register("peer_messages", "Messages between entry hosts", self.messages.clone());
+        let age = self.config_age.clone();
+        registry.register_with_unit("config_age", "Time in force", Unit::Seconds, age);
+        let bytes = self.bytes.clone();
+        registry.register_with_unit("peer", "Bytes between entry hosts", Unit::Bytes, bytes);
+        let held = self.held.clone();
+        registry.register_with_unit("engine_held", "Memory held on engines", tokens(), held);
+        let memory = self.memory.clone();
+        registry.register_with_unit("engine_memory", "Memory of engines", tokens(), memory);
+        let waiting = self.waiting.clone();
+        registry.register_with_unit("engine_waiting", "Prompts not yet read", tokens(), waiting);
+    }
+
+    fn record_peers(&self, status: &NodeStatus) {
+        let alive = status.peers.iter().filter(|peer| peer.alive).count();
+        let suspected = status.peers.len() - alive;
+        for (state, count) in [("alive", alive), ("suspected", suspected)] {
+            self.peers.get_or_create(&StateLabel { state }).set(signed(count as u64));
+        }
+    }
+
+    /// Renews the engines' gauges; engines that this host no longer dispatches for vanish.
+    fn record_engines(&self, status: &NodeStatus) {
+        self.held.clear();
+        self.memory.clear();
+        self.waiting.clear();
+        let loads = status.targets.iter().filter_map(|target| target.load.as_ref());
+        loads.for_each(|load| self.record_engine(load));
+    }
+
+    fn record_engine(&self, load: &EngineLoad) {
+        let engine = load.engine.to_string();
+        let label = EngineLabel { engine: engine.clone() };
+        self.held.get_or_create(&label).set(i64::from(load.held));
+        self.memory.get_or_create(&label).set(i64::from(load.memory));
+        for (length, tokens) in [("short", load.short_tokens), ("long", load.long_tokens)] {
+            let label = QueueLabel { engine: engine.clone(), length };
+            self.waiting.get_or_create(&label).set(i64::from(tokens));
+        }
+    }
+
+    fn record_links(&self, links: &PeerCounters, shed: u64) {
+        self.record_link("control", &links.control);
+        self.record_link("work", &links.work);
+        raise(&self.drops, CauseLabel { cause: "core_ring_full" }, shed);
+        for drop in &links.drops {
+            raise(&self.drops, CauseLabel { cause: drop.cause.as_str() }, drop.count);
+        }
+    }
+
+    fn record_link(&self, link: &'static str, counters: &LinkCounters) {
+        let (incoming, outgoing) =
+            (LinkLabel { link, direction: "in" }, LinkLabel { link, direction: "out" });
+        raise(&self.bytes, incoming.clone(), counters.bytes_in);
+        raise(&self.bytes, outgoing.clone(), counters.bytes_out);
+        raise(&self.messages, incoming, counters.messages_in);
+        raise(&self.messages, outgoing, counters.messages_out);
+    }
+}
+
+impl From<&Refusal> for RefusalLabel {
+    fn from(refusal: &Refusal) -> Self {
+        RefusalLabel { reason: refusal.reason.as_str(), outcome: refusal.outcome.as_str() }
+    }
+}
+
+/// Raises a counter to a total that is counted elsewhere.
+fn raise<L>(family: &Family<L, Counter>, label: L, total: u64)
+where
+    L: Clone + std::hash::Hash + Eq,
+{
+    let counter = family.get_or_create(&label);
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
+
+fn signed(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
+
+fn length_label(prompt_tokens: u32) -> &'static str {
+    let bucket = LENGTHS.iter().find(|(longest, _)| prompt_tokens <= *longest);
+    bucket.map_or(OVER_LENGTHS, |(_, label)| label)
+}
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod logging;
 pub(crate) mod metrics;
 pub(crate) mod operators;
+pub(crate) mod page;
 pub(crate) mod peer_links;
 pub(crate) mod platform_client;
 pub(crate) mod ring;
--- /dev/null
+++ b/lib/src/transport/operators.rs
@@ -0,0 +1,106 @@
+//! The HTTP interface for operators: a page, status, time line, explanations and metrics.
+//!
+//! It only reads what the core's thread shows, and listens on an address of its own.
+
+use std::sync::Arc;
+
+use rocket::Route;
+use rocket::State;
+use rocket::get;
+use rocket::http::ContentType;
+use rocket::http::Status;
+use rocket::response::content::RawHtml;
+use rocket::routes;
+
+use super::core_thread::Shown;
+use super::core_thread::lock;
+use super::page::PAGE;
+use crate::protocol::CounterJson;
+use crate::protocol::StatusJson;
+use crate::protocol::Testimony;
+use crate::protocol::TimeLineJson;
+use crate::protocol::WhyJson;
+use crate::protocol::explain;
+use crate::state::EventFilter;
+use crate::state::HybridTime;
+use crate::state::RequestId;
+use crate::state::TimeLinePage;
+
+/// The most events that one answer brings.
+const MAX_EVENTS: usize = 10_000;
+/// The media type of metrics.
+const METRICS_TYPE: (&str, &str) = ("application", "openmetrics-text");
+
+/// A body in JSON, or why there is none.
+type JsonResult = Result<(ContentType, String), (Status, String)>;
+
+/// Returns all routes for operators.
+pub(crate) fn routes() -> Vec<Route> {
+    routes![page, status, time_line, why, metrics]
+}
+
+#[get("/")]
+fn page() -> RawHtml<&'static str> {
+    RawHtml(PAGE)
+}
+
+#[get("/status")]
+fn status(shown: &State<Arc<Shown>>) -> JsonResult {
+    let status = lock(&shown.status).clone();
+    let mut json = StatusJson::from(status.as_ref());
+    json.counters = counters(shown);
+    to_json(&json)
+}
+
+/// Answers with the newest events; `after` is in microseconds since the Unix epoch.
+#[get("/timeline?<request>&<after>&<limit>")]
+fn time_line(
+    shown: &State<Arc<Shown>>,
+    request: Option<&str>,
+    after: Option<u64>,
+    limit: Option<usize>,
+) -> JsonResult {
+    let filter = EventFilter {
+        request: request.map(request_id).transpose()?,
+        after: HybridTime(after.unwrap_or(0)),
+        limit: limit.unwrap_or(MAX_EVENTS).clamp(1, MAX_EVENTS),
+    };
+    to_json(&TimeLineJson::from(read_page(shown, &filter)))
+}
+
+/// Explains a request from this host's events alone.
+#[get("/why?<request>")]
+fn why(shown: &State<Arc<Shown>>, request: &str) -> JsonResult {
+    let request = request_id(request)?;
+    let filter =
+        EventFilter { request: Some(request), limit: MAX_EVENTS, ..EventFilter::default() };
+    let told = explain(request, [Testimony::Page(read_page(shown, &filter))]);
+    to_json(&WhyJson::from(told))
+}
+
+#[get("/metrics")]
+fn metrics(shown: &State<Arc<Shown>>) -> (ContentType, String) {
+    let (top, sub) = METRICS_TYPE;
+    let kind = ContentType::new(top, sub).with_params(("version", "1.0.0"));
+    (kind, shown.metrics.text())
+}
+
+fn read_page(shown: &Shown, filter: &EventFilter) -> TimeLinePage {
+    lock(&shown.time_line).page(filter)
+}
+
+fn counters(shown: &Shown) -> Vec<CounterJson> {
+    let lost = lock(&shown.time_line).lost();
+    vec![CounterJson { name: "events_lost".to_owned(), count: lost }]
+}
+
+fn request_id(text: &str) -> Result<RequestId, (Status, String)> {
+    text.parse().map_err(|error| (Status::BadRequest, format!("{error}\n")))
+}
+
+fn to_json(value: &impl serde::Serialize) -> JsonResult {
+    match serde_json::to_string(value) {
+        Ok(json) => Ok((ContentType::JSON, json)),
+        Err(error) => Err((Status::InternalServerError, format!("{error}\n"))),
+    }
+}
--- a/lib/src/transport/peer_links/mod.rs
+++ b/lib/src/transport/peer_links/mod.rs
@@ -144,6 +144,15 @@
     work: Outbound,
 }
 
+impl Peer {
+    fn link(&self, kind: LinkKind) -> &Outbound {
+        match kind {
+            LinkKind::Control => &self.control,
+            LinkKind::Work => &self.work,
+        }
+    }
+}
+
 impl PeerLinks {
     /// Listens for peers and hands every message that proves its sender to `inbox`.
     ///
@@ -178,12 +187,18 @@
 
     /// Takes `published` as the peers: connects to new ones and closes links to others.
     ///
-    /// This host itself may be among them and is left out.
+    /// This host itself may be among them and is left out. A peer whose name is its own address,
+    /// as text, is one whose name is not known yet; while there is one, messages are taken from
+    /// any host that has the fleet's key, and else from the named hosts only. An error is that of a
+    /// thread that could not be started; the other peers are taken.
     pub fn set_peers(&self, published: &[PeerAddr]) -> io::Result<()> {
         let own = &self.shared.sender.host;
-        let published: Vec<_> = published.iter().filter(|peer| peer.host != *own).collect();
-        let known = published.iter().map(|peer| peer.host.clone());
-        lock(&self.shared.senders).set_known(known);
+        let is_other = |peer: &&PeerAddr| peer.host != *own && peer.addr != self.local;
+        let published: Vec<_> = published.iter().filter(is_other).collect();
+        if published.iter().all(|peer| is_named(peer)) {
+            let known = published.iter().map(|peer| peer.host.clone());
+            lock(&self.shared.senders).set_known(known);
+        }
         let mut peers = self.peers.write().unwrap_or_else(PoisonError::into_inner);
         let mut old = std::mem::take(&mut *peers);
         let mut result = Ok(());
@@ -210,8 +225,13 @@
 
     /// Tells whether both links to `host` are up.
     pub fn is_connected(&self, host: &HostName) -> bool {
+        self.has_link(host, LinkKind::Control) && self.has_link(host, LinkKind::Work)
+    }
+
+    /// Tells whether the link of `kind` to `host` is up.
+    pub fn has_link(&self, host: &HostName, kind: LinkKind) -> bool {
         let peers = self.peers.read().unwrap_or_else(PoisonError::into_inner);
-        peers.get(host).is_some_and(|peer| peer.control.is_up() && peer.work.is_up())
+        peers.get(host).is_some_and(|peer| peer.link(kind).is_up())
     }
 
     /// Returns what went over the links and what was dropped since the start.
@@ -237,10 +257,7 @@
     fn try_send(&self, host: &HostName, message: &PeerMessage) -> Result<(), SendRefused> {
         let peers = self.peers.read().unwrap_or_else(PoisonError::into_inner);
         let peer = peers.get(host).ok_or(SendRefused::UnknownPeer)?;
-        let link = match link_kind(message) {
-            LinkKind::Control => &peer.control,
-            LinkKind::Work => &peer.work,
-        };
+        let link = peer.link(link_kind(message));
         if !link.is_up() {
             return Err(SendRefused::NotConnected);
         }
@@ -282,6 +299,11 @@
     if message.is_control() { LinkKind::Control } else { LinkKind::Work }
 }
 
+/// Tells whether the name of `peer` is known, and not only its address.
+fn is_named(peer: &PeerAddr) -> bool {
+    peer.host.as_str() != peer.addr.to_string()
+}
+
 /// Locks `mutex`; what it guards is whole between any two statements, also after a panic.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/lib/src/transport/peer_links/outbound.rs
+++ b/lib/src/transport/peer_links/outbound.rs
@@ -36,6 +36,7 @@
 use super::DropCause;
 use super::SendRefused;
 use super::Shared;
+use super::is_named;
 use super::stream::draw_nonce;
 use super::stream::is_closed;
 use super::stream::prepare;
@@ -225,7 +226,7 @@
     ///
     /// A peer from the settings has its address in place of a name, until a list names it.
     fn is_meant(&self, receiver: &HostName) -> bool {
-        let unnamed = self.peer.host.as_str() == self.peer.addr.to_string();
+        let unnamed = !is_named(&self.peer);
         let own = *receiver == self.shared.sender.host;
         !own && (unnamed || *receiver == self.peer.host)
     }
--- a/lib/tests/test_frame.rs
+++ b/lib/tests/test_frame.rs
@@ -30,11 +30,11 @@
 /// One connection with both of its sides past the hello.
 fn connect(challenge: Nonce) -> (FrameSender, FrameReceiver) {
     let mut out = FrameSender::new(&key(7), sender(3, 4), &receiver(), challenge);
-    let frame = out.hello(LinkKind::Control, REPLY).unwrap();
+    let frame = out.hello(LinkKind::Control, REPLY).expect("the test's own set-up works");
     let listener = FrameListener::new(&key(7), &receiver(), challenge);
-    let (hello, inn) = listener.accept(body(&frame)).unwrap();
+    let (hello, inn) = listener.accept(body(&frame)).expect("the test's own set-up works");
     assert_eq!(hello, Hello { sender: sender(3, 4), kind: LinkKind::Control, nonce: REPLY });
-    out.check_welcome(REPLY, &inn.welcome(&hello)).unwrap();
+    out.check_welcome(REPLY, &inn.welcome(&hello)).expect("the test's own set-up works");
     (out, inn)
 }
 
@@ -59,7 +59,7 @@
 fn hello_with_wrong_tag_is_dropped(case: Greeting) {
     let meant = HostName::new(case.receiver);
     let mut out = FrameSender::new(&case.key, sender(3, 4), &meant, case.challenge);
-    let frame = out.hello(LinkKind::Work, REPLY).unwrap();
+    let frame = out.hello(LinkKind::Work, REPLY).expect("the hello can be sealed");
     let listener = FrameListener::new(&key(7), &receiver(), NONCE);
     assert_eq!(listener.accept(body(&frame)).err(), Some(FrameError::BadTag));
 }
@@ -140,5 +140,7 @@
 #[test]
 fn sender_that_is_not_published_is_unknown() {
     let mut table = SenderTable::default();
+    assert_eq!(table.hear(&sender(1, 1), Moment(0)), Ok(()), "no list is known yet");
+    table.set_known([]);
     assert_eq!(table.hear(&sender(1, 1), Moment(0)), Err(FrameError::UnknownSender));
 }
--- a/lib/tests/test_peer_links.rs
+++ b/lib/tests/test_peer_links.rs
@@ -16,6 +16,7 @@
 use slog::Logger;
 use slog::o;
 use wasabicrank_lib::coordination::*;
+use wasabicrank_lib::protocol::Sender;
 use wasabicrank_lib::protocol::*;
 use wasabicrank_lib::state::*;
 use wasabicrank_lib::transport::*;
@@ -44,12 +45,17 @@
             ring: RING,
         };
         let log = Logger::root(Discard, o!());
-        let links = PeerLinks::start(settings, move |e| sink.send(e).unwrap(), log).unwrap();
+        let links = PeerLinks::start(
+            settings,
+            move |e| sink.send(e).expect("the test's own set-up works"),
+            log,
+        )
+        .expect("the test's own set-up works");
         Host { links, inbox, name: HostName::new(name) }
     }
 
-    fn addr(&self) -> PeerAddress {
-        PeerAddress { host: self.name.clone(), addr: self.links.local_addr() }
+    fn addr(&self) -> PeerAddr {
+        PeerAddr { host: self.name.clone(), addr: self.links.local_addr() }
     }
 
     fn dropped(&self, cause: DropCause) -> u64 {
@@ -57,7 +63,7 @@
     }
 
     fn next(&self) -> Envelope {
-        self.inbox.recv_timeout(PATIENCE).unwrap()
+        self.inbox.recv_timeout(PATIENCE).expect("the test's own set-up works")
     }
 }
 
@@ -84,16 +90,25 @@
     Sender { host, incarnation: Incarnation(incarnation), started: WallTime(started) }
 }
 
+fn read_challenge(stream: &mut TcpStream) -> Nonce {
+    let mut start = [0; CHALLENGE_BYTES];
+    stream.read_exact(&mut start).expect("the challenge arrives");
+    let challenge = decode_challenge(&start).expect("the challenge can be read");
+    stream.read_exact(&mut vec![0; challenge.name_len]).expect("the name arrives");
+    challenge.nonce
+}
+
 /// Connects by hand as `sender` and says hello with `key`.
 fn greet(to: &Host, sender: Sender, key: [u8; 32]) -> (TcpStream, FrameSender, Vec<u8>) {
-    let mut stream = TcpStream::connect(to.links.local_addr()).unwrap();
-    stream.set_read_timeout(Some(PATIENCE)).unwrap();
-    let mut challenge = [0; CHALLENGE_BYTES];
-    stream.read_exact(&mut challenge).unwrap();
-    let nonce = decode_challenge(challenge).unwrap();
+    let mut stream =
+        TcpStream::connect(to.links.local_addr()).expect("the test's own set-up works");
+    stream.set_read_timeout(Some(PATIENCE)).expect("the test's own set-up works");
+    let nonce = read_challenge(&mut stream);
     let mut frames = FrameSender::new(&FleetKey::new(key), sender, &to.name, nonce);
-    let hello = frames.hello(LinkKind::Control, Nonce([5; NONCE_BYTES])).unwrap();
-    stream.write_all(&hello).unwrap();
+    let hello = frames
+        .hello(LinkKind::Control, Nonce([5; NONCE_BYTES]))
+        .expect("the test's own set-up works");
+    stream.write_all(&hello).expect("the test's own set-up works");
     (stream, frames, hello)
 }
 
@@ -104,9 +119,8 @@
 /// A host that knows a peer `entry-1`, which the test plays itself.
 fn host_that_knows_entry_1() -> Host {
     let host = Host::start("entry-2", KEY);
-    let unreachable =
-        PeerAddress { host: HostName::new("entry-1"), addr: ([127, 0, 0, 1], 1).into() };
-    host.links.set_peers(&[unreachable]).unwrap();
+    let unreachable = PeerAddr { host: HostName::new("entry-1"), addr: ([127, 0, 0, 1], 1).into() };
+    host.links.set_peers(&[unreachable]).expect("threads can be started");
     host
 }
 
@@ -114,8 +128,8 @@
 fn messages_arrive_over_both_links() {
     let (a, b) = (Host::start("entry-1", KEY), Host::start("entry-2", KEY));
     let published = [a.addr(), b.addr()];
-    a.links.set_peers(&published).unwrap();
-    b.links.set_peers(&published).unwrap();
+    a.links.set_peers(&published).expect("threads can be started");
+    b.links.set_peers(&published).expect("threads can be started");
     wait_until("both are connected", || {
         a.links.is_connected(&b.name) && b.links.is_connected(&a.name)
     });
@@ -138,17 +152,19 @@
 fn link_comes_back_after_the_peer_restarts() {
     let (a, b) = (Host::start("entry-1", KEY), Host::start("entry-2", KEY));
     let published = [a.addr(), b.addr()];
-    a.links.set_peers(&published).unwrap();
-    b.links.set_peers(&published).unwrap();
+    a.links.set_peers(&published).expect("threads can be started");
+    b.links.set_peers(&published).expect("threads can be started");
     wait_until("a is connected", || a.links.is_connected(&b.name));
     let name = b.name.clone();
     b.links.stop();
-    wait_until("a has noticed without sending", || !a.links.is_connected(&name));
+    wait_until("a has noticed on both links without sending", || {
+        !a.links.has_link(&name, LinkKind::Control) && !a.links.has_link(&name, LinkKind::Work)
+    });
     assert_eq!(a.links.send(&name, &pull(1)), Err(SendRefused::NotConnected));
     let b = Host::start("entry-2", KEY);
     let published = [a.addr(), b.addr()];
-    a.links.set_peers(&published).unwrap();
-    b.links.set_peers(&published).unwrap();
+    a.links.set_peers(&published).expect("threads can be started");
+    b.links.set_peers(&published).expect("threads can be started");
     wait_until("a is connected again", || a.links.is_connected(&b.name));
     a.links.send(&b.name, &pull(2)).unwrap();
     assert_eq!(b.next().message, pull(2));
@@ -159,20 +175,48 @@
     let (a, b) = (Host::start("entry-1", KEY), Host::start("entry-2", KEY));
     assert_eq!(a.links.send(&b.name, &pull(1)), Err(SendRefused::UnknownPeer));
     let published = [a.addr(), b.addr()];
-    a.links.set_peers(&published).unwrap();
-    b.links.set_peers(&published).unwrap();
+    a.links.set_peers(&published).expect("threads can be started");
+    b.links.set_peers(&published).expect("threads can be started");
     wait_until("a is connected", || a.links.is_connected(&b.name));
     assert_eq!(a.links.send(&b.name, &call(MAX_FRAME)), Err(SendRefused::TooLong));
     assert_eq!(a.dropped(DropCause::UnknownPeer), 1);
     assert_eq!(a.dropped(DropCause::Oversize), 1);
 }
 
+/// At a cold start only addresses of peers are known, its own among them.
+#[test]
+fn peers_are_reached_by_address_alone() {
+    let (a, b) = (Host::start("entry-1", KEY), Host::start("entry-2", KEY));
+    let unnamed = |host: &Host| {
+        let addr = host.links.local_addr();
+        PeerAddr { host: HostName::new(addr.to_string()), addr }
+    };
+    let (own, other) = (unnamed(&a), unnamed(&b));
+    a.links.set_peers(&[own.clone(), other.clone()]).expect("threads can be started");
+    wait_until("a is connected", || a.links.is_connected(&other.host));
+    a.links.send(&other.host, &pull(3)).unwrap();
+    let from = a.name.clone();
+    assert_eq!(b.next(), Envelope { from, incarnation: Incarnation(11), message: pull(3) });
+    assert_eq!(a.links.send(&own.host, &pull(4)), Err(SendRefused::UnknownPeer));
+}
+
+/// An address may be given to another host; what was meant for the old one does not go there.
+#[test]
+fn host_with_another_name_gets_nothing() {
+    let (a, b) = (Host::start("entry-1", KEY), Host::start("entry-2", KEY));
+    let meant = PeerAddr { host: HostName::new("entry-9"), addr: b.links.local_addr() };
+    a.links.set_peers(std::slice::from_ref(&meant)).expect("threads can be started");
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(a.links.send(&meant.host, &pull(1)), Err(SendRefused::NotConnected));
+    assert_eq!(b.links.counters().control.messages_in, 0);
+}
+
 #[test]
 fn wrong_key_is_dropped_and_counted() {
     let (a, b) = (Host::start("entry-1", [8; 32]), Host::start("entry-2", KEY));
     let published = [a.addr(), b.addr()];
-    b.links.set_peers(&published).unwrap();
-    a.links.set_peers(&published).unwrap();
+    b.links.set_peers(&published).expect("threads can be started");
+    a.links.set_peers(&published).expect("threads can be started");
     wait_until("the wrong key is counted", || b.dropped(DropCause::BadTag) >= 2);
     assert!(!a.links.is_connected(&b.name));
     assert!(b.inbox.is_empty());
@@ -181,6 +225,8 @@
 #[test]
 fn sender_that_is_not_published_is_dropped_and_counted() {
     let host = Host::start("entry-2", KEY);
+    let other = PeerAddr { host: HostName::new("entry-3"), addr: ([127, 0, 0, 1], 1).into() };
+    host.links.set_peers(&[other]).expect("threads can be started");
     let (mut stream, ..) = greet(&host, sender(1, 1), KEY);
     assert!(!welcome(&mut stream));
     wait_until("it is counted", || host.dropped(DropCause::UnknownSender) == 1);
@@ -210,9 +256,7 @@
     let (mut old, mut old_frames, _) = greet(&host, sender(1, 100), KEY);
     assert!(welcome(&mut old));
     let mut new = TcpStream::connect(host.links.local_addr()).unwrap();
-    let mut challenge = [0; CHALLENGE_BYTES];
-    new.read_exact(&mut challenge).unwrap();
-    let nonce = decode_challenge(challenge).unwrap();
+    let nonce = read_challenge(&mut new);
     let mut frames = FrameSender::new(&FleetKey::new(KEY), sender(2, 200), &host.name, nonce);
     // On the other kind of link, so that the old connection is not closed as replaced.
     let hello = frames.hello(LinkKind::Work, Nonce([5; NONCE_BYTES])).unwrap();
@@ -241,12 +285,14 @@
     },
     Garbage {
         name: "a message of another version",
-        bytes: |frames| frames.seal(&[99, 1, 2]).unwrap(),
+        bytes: |frames| frames.seal(&[99, 1, 2]).expect("the test's own set-up works"),
         cause: DropCause::UnknownVersion,
     },
     Garbage {
         name: "a payload that is no message",
-        bytes: |frames| frames.seal(&[MESSAGE_VERSION, 255, 255]).unwrap(),
+        bytes: |frames| {
+            frames.seal(&[MESSAGE_VERSION, 255, 255]).expect("the test's own set-up works")
+        },
         cause: DropCause::Malformed,
     },
 ];
@@ -289,16 +335,18 @@
     let name = HostName::new("entry-2");
     let mut streams = Vec::new();
     for _ in 0..2 {
-        let (mut stream, _) = listener.accept().unwrap();
+        let (mut stream, _) = listener.accept().expect("the test's own set-up works");
         let nonce = Nonce([9; NONCE_BYTES]);
-        stream.write_all(&encode_challenge(nonce)).unwrap();
+        let challenge = encode_challenge(nonce, &name).expect("the name is short");
+        stream.write_all(&challenge).expect("the challenge can be sent");
         let mut prefix = [0; LENGTH_BYTES];
-        stream.read_exact(&mut prefix).unwrap();
-        let mut frame = vec![0; frame_len(prefix, MAX_HELLO_BYTES).unwrap()];
-        stream.read_exact(&mut frame).unwrap();
+        stream.read_exact(&mut prefix).expect("the test's own set-up works");
+        let mut frame =
+            vec![0; frame_len(prefix, MAX_HELLO_BYTES).expect("the test's own set-up works")];
+        stream.read_exact(&mut frame).expect("the test's own set-up works");
         let side = FrameListener::new(&FleetKey::new(KEY), &name, nonce);
-        let (hello, frames) = side.accept(&frame).unwrap();
-        stream.write_all(&frames.welcome(&hello)).unwrap();
+        let (hello, frames) = side.accept(&frame).expect("the test's own set-up works");
+        stream.write_all(&frames.welcome(&hello)).expect("the test's own set-up works");
         let position = if hello.kind == LinkKind::Control { 0 } else { streams.len() };
         streams.insert(position, stream);
     }
@@ -309,10 +357,9 @@
 fn frozen_reader_blocks_neither_sender_nor_control() {
     let a = Host::start("entry-1", KEY);
     let listener = TcpListener::bind(LOOPBACK).unwrap();
-    let frozen =
-        PeerAddress { host: HostName::new("entry-2"), addr: listener.local_addr().unwrap() };
+    let frozen = PeerAddr { host: HostName::new("entry-2"), addr: listener.local_addr().unwrap() };
     let name = frozen.host.clone();
-    a.links.set_peers(&[frozen]).unwrap();
+    a.links.set_peers(&[frozen]).expect("threads can be started");
     let mut streams = frozen_work_peer(&listener);
     wait_until("a is connected", || a.links.is_connected(&name));
 
--- a/lib/tests/test_peer_wire.rs
+++ b/lib/tests/test_peer_wire.rs
@@ -94,7 +94,7 @@
 
 fn hand_over(state: ClaimState) -> PeerMessage {
     let claim = ClaimRecord { key: CallKey(7), call_hash: 8, state };
-    let hand_over = HandOver { shard: 9, known_since: 10, claims: vec![claim] };
+    let hand_over = HandOver { round: 8, shard: 9, known_since: 10, claims: vec![claim] };
     PeerMessage::Lease(LeaseMessage::HandOver(Box::new(hand_over)))
 }
 
@@ -111,10 +111,44 @@
     Refusal { outcome: Outcome::Unknown, reason: Reason::KeyTooOld, retry_after }
 }
 
+fn live_list() -> LiveList {
+    let zone = ZoneName::new("z1");
+    let addr = ([127, 0, 0, 1], 9000).into();
+    let v6 = "[::1]:80".parse().expect("it is an address");
+    let state = TargetState::Leaving;
+    LiveList {
+        version: 4,
+        entry_hosts: vec![EntryHost {
+            name: HostName::new("entry-1"),
+            zone: zone.clone(),
+            peer_addr: addr,
+        }],
+        engines: vec![Engine {
+            name: engine(),
+            zone: zone.clone(),
+            addr,
+            memory: 400_000,
+            fenced: true,
+            state,
+        }],
+        services: vec![ServiceHost {
+            service: ServiceName::new("enrol"),
+            zone,
+            addr: v6,
+            state: TargetState::Live,
+        }],
+    }
+}
+
 /// One message of every kind and of every variant within it.
 fn samples() -> Vec<PeerMessage> {
     let (attempt, engine) = (attempt(), engine());
-    let edit = LineEdit { at: 1, remove: 2, insert: vec!["limit a 5 # ops".into()] };
+    let line = |text: &str| text.to_owned();
+    let edits = vec![
+        LineEdit { at: 1, remove: 2, insert: vec![line("limit a 5 # ops"), line("")] },
+        LineEdit { at: 5, remove: 1, insert: vec![] },
+        LineEdit { at: 9, remove: 0, insert: vec![line("")] },
+    ];
     let span = Duration::from_micros(123_456);
     vec![
         heartbeat(),
@@ -147,10 +181,24 @@
             decode: span,
             failed: true,
         }),
-        PeerMessage::Lease(LeaseMessage::Ask { round: 1, list: 2, shards: vec![3] }),
-        PeerMessage::Lease(LeaseMessage::Grant { round: 1, list: 2, shards: vec![3, 4] }),
-        PeerMessage::Lease(LeaseMessage::Release { shards: vec![] }),
-        PeerMessage::Lease(LeaseMessage::HandOverDone { shard: 12 }),
+        PeerMessage::Lease(LeaseMessage::Ask { round: 1, list: 2, sets: vec![7], shards: vec![3] }),
+        PeerMessage::Lease(LeaseMessage::Grant {
+            round: 1,
+            list: 2,
+            sets: vec![7, 8],
+            shards: vec![3, 4],
+            handed: vec![4],
+        }),
+        PeerMessage::Lease(LeaseMessage::Release { round: 1, shards: vec![], successor: None }),
+        PeerMessage::Lease(LeaseMessage::Release {
+            round: 2,
+            shards: vec![5],
+            successor: Some(Process {
+                host: HostName::new("entry-3"),
+                incarnation: Incarnation(9),
+            }),
+        }),
+        PeerMessage::Lease(LeaseMessage::HandOverDone { round: 11, shard: 12 }),
         hand_over(ClaimState::Running),
         hand_over(ClaimState::Done(reply(b"seat 4"))),
         hand_over(ClaimState::Refused(Reason::Stopping)),
@@ -160,8 +208,10 @@
         answer(Err(refusal())),
         PeerMessage::ConfigPull(ConfigPull { have: 1, have_hash: u64::MAX }),
         config(ConfigBody::Whole("model m1 # ops".into())),
-        config(ConfigBody::Delta { base: 9, edits: vec![edit] }),
+        config(ConfigBody::Delta { base: 9, edits }),
         PeerMessage::TargetSeen(sighting(Some(TargetState::Leaving))),
+        PeerMessage::ListPull(ListPull { have: 3 }),
+        PeerMessage::List(Box::new(live_list())),
     ]
 }
 
@@ -201,7 +251,7 @@
 }
 
 fn edited(message: &PeerMessage, edit: impl FnOnce(&mut Vec<u8>)) -> Vec<u8> {
-    let mut payload = encode_message(message).unwrap();
+    let mut payload = encode_message(message).expect("the test's own set-up works");
     edit(&mut payload);
     payload
 }
@@ -224,23 +274,36 @@
     error: WireError::Malformed,
 }; "an unknown kind")]
 #[test_case(Refused {
-    payload: encode_message(&target_named(MAX_NAME_BYTES + 1)).unwrap(),
+    payload: encode_message(&target_named(MAX_NAME_BYTES + 1)).expect("the test's own set-up works"),
     error: WireError::TextTooLong { found: MAX_NAME_BYTES + 1, limit: MAX_NAME_BYTES },
 }; "a long name")]
 #[test_case(Refused {
-    payload: encode_message(&target_named(0)).unwrap(),
+    payload: encode_message(&target_named(0)).expect("the test's own set-up works"),
     error: WireError::EmptyName,
 }; "an empty name")]
 #[test_case(Refused {
-    payload: encode_message(&forward(&[1; MAX_BODY + 1])).unwrap(),
+    payload: encode_message(&config(ConfigBody::Whole("x".repeat(MAX_PLAIN_BYTES).into())))
+        .expect("the test's own set-up works"),
+    error: WireError::BodyTooLong { found: MAX_PLAIN_BYTES + 7, limit: MAX_PLAIN_BYTES },
+}; "a long message without a body")]
+#[test_case(Refused {
+    payload: encode_message(&config(ConfigBody::Delta {
+        base: 1,
+        edits: vec![LineEdit { at: 0, remove: 0, insert: vec![String::new(); MAX_LINES + 1] }],
+    }))
+    .expect("the test's own set-up works"),
+    error: WireError::Malformed,
+}; "too many lines")]
+#[test_case(Refused {
+    payload: encode_message(&forward(&[1; MAX_BODY + 1])).expect("the test's own set-up works"),
     error: WireError::BodyTooLong { found: MAX_BODY + 1, limit: MAX_BODY },
 }; "a long body of a call")]
 #[test_case(Refused {
-    payload: encode_message(&answer(Ok(reply(&[1; MAX_BODY + 1])))).unwrap(),
+    payload: encode_message(&answer(Ok(reply(&[1; MAX_BODY + 1])))).expect("the test's own set-up works"),
     error: WireError::BodyTooLong { found: MAX_BODY + 1, limit: MAX_BODY },
 }; "a long body of an answer")]
 #[test_case(Refused {
-    payload: encode_message(&hand_over(ClaimState::Done(reply(&[1; MAX_BODY + 1])))).unwrap(),
+    payload: encode_message(&hand_over(ClaimState::Done(reply(&[1; MAX_BODY + 1])))).expect("the test's own set-up works"),
     error: WireError::BodyTooLong { found: MAX_BODY + 1, limit: MAX_BODY },
 }; "a long body of a claim")]
 fn bad_payload_is_refused(case: Refused) {
@@ -250,8 +313,9 @@
 /// A list that announces more items than its limit, or than there are, takes no memory for them.
 #[test]
 fn announced_length_is_not_believed() {
-    let release = PeerMessage::Lease(LeaseMessage::Release { shards: vec![] });
-    let mut payload = encode_message(&release).unwrap();
+    let ask = LeaseMessage::Ask { round: 1, list: 2, sets: vec![], shards: vec![] };
+    let ask = PeerMessage::Lease(ask);
+    let mut payload = encode_message(&ask).unwrap();
     payload.pop();
     payload.extend([0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f]);
     assert_eq!(decode_message(&payload, MAX_BODY), Err(WireError::Malformed));
