--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) mod spelling;
 pub(crate) mod why;
 
+pub use caller_api::CallerHeaders;
 pub use event_text::*;
 pub use event_wire::*;
 pub use frame::*;
