cli: add timeline, why and status

Operators ask all entry hosts at once; hosts that do not answer and events that are lost are named, with exit code 1.

Not yet tried against running hosts.

--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -2,9 +2,13 @@
 
 mod check;
 mod demo;
+mod fetch;
 mod hash_token;
 mod serve;
 mod settings;
+mod status;
+mod timeline;
+mod why;
 
 use argh::FromArgs;
 
@@ -19,6 +23,9 @@
     HashToken(hash_token::HashToken),
     Serve(serve::Serve),
     Settings(settings::PrintSettings),
+    Status(status::Status),
+    Timeline(timeline::Timeline),
+    Why(why::Why),
 }
 
 impl Command {
@@ -30,6 +37,9 @@
             Command::HashToken(command) => command.run(),
             Command::Serve(command) => command.run(),
             Command::Settings(command) => command.run(),
+            Command::Status(command) => command.run(),
+            Command::Timeline(command) => command.run(),
+            Command::Why(command) => command.run(),
         }
     }
 }
--- /dev/null
+++ b/cli/src/commands/why.rs
@@ -0,0 +1,93 @@
+//! `wasabicrank why`: tells in plain sentences why a request waited, moved or was refused.
+
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+use wasabicrank_lib::protocol::Testimony;
+use wasabicrank_lib::protocol::TimeLineJson;
+use wasabicrank_lib::protocol::explain;
+use wasabicrank_lib::state::RequestId;
+use wasabicrank_lib::state::TimeLinePage;
+
+use super::fetch::Answers;
+use super::fetch::Unreachable;
+use crate::output::Exit;
+use crate::output::complain;
+use crate::output::print;
+
+/// Tell why a request waited, moved or was refused, from the events of all entry hosts. The request
+/// id stands in every answer to a caller.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "why",
+    example = "{command_name} 10.0.1.5:7003 10.0.2.5:7003 00f3a29c41d07be5-17",
+    error_code(0, "the request is explained"),
+    error_code(1, "a host did not answer, or nothing is known of the request"),
+    error_code(2, "wrong use of the command line")
+)]
+pub(crate) struct Why {
+    /// the operators' addresses of the entry hosts, IP:PORT, and at the end the request id
+    #[argh(positional, arg_name = "address... request")]
+    words: Vec<String>,
+}
+
+/// What the words of the command line mean.
+struct Question {
+    addrs: Vec<SocketAddr>,
+    request: RequestId,
+}
+
+impl Why {
+    /// Fetches the request's events and explains them.
+    pub(crate) fn run(self) -> Exit {
+        let question = match Question::parse(&self.words) {
+            Ok(question) => question,
+            Err(error) => {
+                complain(&error);
+                return Exit::WrongUse;
+            }
+        };
+        let path = format!("/timeline?request={}", question.request);
+        match Answers::<TimeLineJson>::fetch(&question.addrs, &path) {
+            Ok(answers) => tell(question.request, answers),
+            Err(error) => {
+                complain(&format!("the entry hosts cannot be asked: {error}"));
+                Exit::Failure
+            }
+        }
+    }
+}
+
+impl Question {
+    fn parse(words: &[String]) -> Result<Question, String> {
+        let usage = "`wasabicrank why` needs addresses and a request: ADDRESS... REQUEST";
+        let (request, addrs) = words.split_last().ok_or(usage)?;
+        let request = request.parse().map_err(|error| format!("{error}"))?;
+        if addrs.is_empty() {
+            return Err(usage.to_owned());
+        }
+        let addrs = addrs.iter().map(|word| parse_addr(word)).collect::<Result<_, _>>()?;
+        Ok(Question { addrs, request })
+    }
+}
+
+fn parse_addr(word: &str) -> Result<SocketAddr, String> {
+    word.parse().map_err(|_| format!("`{word}` is not an address: expected IP:PORT"))
+}
+
+fn tell(request: RequestId, answers: Answers<TimeLineJson>) -> Exit {
+    let mut testimonies = Vec::new();
+    for page in answers.given {
+        testimonies.push(match TimeLinePage::try_from(page) {
+            Ok(page) => Testimony::Page(page),
+            Err(error) => Testimony::Silent(format!("A host with an unreadable answer ({error})")),
+        });
+    }
+    let silent = |Unreachable { addr, error }| Testimony::Silent(format!("{addr} ({error})"));
+    testimonies.extend(answers.unreachable.into_iter().map(silent));
+    let complete = testimonies.iter().all(|testimony| matches!(testimony, Testimony::Page(_)));
+    let told = explain(request, testimonies);
+    let printed = print(&told.to_string());
+    if complete && told.found { printed } else { Exit::Failure }
+}
