caller api: keep callers from setting the system's own fields at engines

Cause: further fields of a caller's body go to the engine as they came, so a caller could send `owner`, `attempt`, `priority` or `segments` a second time; the engine refused the body, and one that takes the last of two fields would have obeyed the caller. Ruled out: refusing such requests, since clients may send fields that they do not know to be ours. Change: these fields are dropped; a test sends them all. Conclusion: only unknown fields are passed on.

--- a/cli/tests/test_whole_path.rs
+++ b/cli/tests/test_whole_path.rs
@@ -176,6 +176,20 @@
     assert_eq!(ask(&fleet, 0, body).await.status(), 200, "the daemon goes on");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn test_caller_cannot_set_fields_of_the_system() {
+    let fleet = Fleet::start(FleetConfig { engines: 1, ..config(1) }).await.unwrap();
+    let body = json!({
+        "model": "assist", "prompt": "whose is this?", "max_tokens": 2, "temperature": 0.5,
+        "owner": "0000000000000001", "attempt": "0000000000000001-1.1", "priority": 9,
+        "resume_from": 1, "segments": [], "answered": "x",
+    });
+    let response = ask(&fleet, 0, body).await;
+    assert_eq!(response.status(), 200);
+    let answer: Value = response.json().await.unwrap();
+    assert_eq!(answer["choices"][0]["text"], expected_answer("whose is this?", 2));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn test_oversize_body_and_prompt_are_refused() {
     let fleet = Fleet::start(FleetConfig { engines: 1, ..config(1) }).await.unwrap();
--- a/lib/src/protocol/caller_api.rs
+++ b/lib/src/protocol/caller_api.rs
@@ -22,6 +22,19 @@
 /// The number of answer tokens if the caller names none.
 const DEFAULT_OUTPUT_TOKENS: u32 = 256;
 
+/// The fields of an engine's request that only this system sets.
+const OWN_FIELDS: [&str; 9] = [
+    "model",
+    "prompt",
+    "max_tokens",
+    "priority",
+    "attempt",
+    "owner",
+    "resume_from",
+    "answered",
+    "segments",
+];
+
 /// Why a caller's request could not be understood.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CallerError {
@@ -206,7 +219,9 @@
 }
 
 fn form(ask: FormParts, headers: &CallerHeaders<'_>) -> Result<CompletionForm, CallerError> {
-    let FormParts { model, prompt, max_tokens, stream, resume, options } = ask;
+    let FormParts { model, prompt, max_tokens, stream, resume, mut options } = ask;
+    // A caller must not name another owner, attempt or priority to the engine.
+    options.retain(|name, _| !OWN_FIELDS.contains(&name.as_str()));
     if prompt.is_empty() {
         return Err(CallerError::EmptyPrompt);
     }
--- a/lib/src/protocol/peer_wire/heartbeat.rs
+++ b/lib/src/protocol/peer_wire/heartbeat.rs
@@ -9,6 +9,7 @@
 use crate::coordination::TargetSeen;
 use crate::state::CustomerName;
 use crate::state::EngineName;
+use crate::state::LEVELS;
 use crate::state::ModelName;
 use crate::state::TargetState;
 
@@ -76,6 +77,7 @@
     engine: &'a str,
     short_tokens: u32,
     long_tokens: u32,
+    level_tokens: [u32; LEVELS],
     requests: u32,
     held: u32,
     memory: u32,
@@ -92,6 +94,7 @@
             engine: load.engine.as_str(),
             short_tokens: load.short_tokens,
             long_tokens: load.long_tokens,
+            level_tokens: load.level_tokens,
             requests: load.requests,
             held: load.held,
             memory: load.memory,
@@ -113,6 +116,7 @@
             engine: EngineName::new(name(wire.engine)?),
             short_tokens: wire.short_tokens,
             long_tokens: wire.long_tokens,
+            level_tokens: wire.level_tokens,
             requests: wire.requests,
             held: wire.held,
             memory: wire.memory,
--- a/lib/testutils/examples/overhead.rs
+++ b/lib/testutils/examples/overhead.rs
@@ -140,7 +140,14 @@
         "peer_key": "0f".repeat(32),
     });
     let settings = Settings::parse("overhead", &settings.to_string()).expect("settings are good");
-    let log = Logger::root(Discard, o!());
+    let log = if std::env::var("V").is_ok() {
+        wasabicrank_lib::transport::make_logger(&wasabicrank_lib::protocol::LogSettings {
+            level: wasabicrank_lib::protocol::LogLevel::Debug,
+            format: wasabicrank_lib::protocol::LogFormat::Terminal,
+        })
+    } else {
+        Logger::root(Discard, o!())
+    };
     let start = move || Daemon::start(&settings, log).expect("the entry host starts");
     let daemon = tokio::task::spawn_blocking(start).await.expect("it does not panic");
     (daemon, platform, callers)
