--- a/cli/tests/test_check.rs
+++ b/cli/tests/test_check.rs
@@ -26,6 +26,14 @@
     PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../examples")
 }
 
+/// Makes a folder for one test.
+fn temp_folder(name: &str) -> PathBuf {
+    let name = format!("wasabicrank-check-{name}-{}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
 /// Runs the binary in the folder of the examples.
 fn run(arguments: &[&str], input: &str) -> Output {
     let mut child = Command::new(BINARY)
@@ -150,11 +158,30 @@
     }
 }
 
+/// Returns the indented block that follows `mark` in the operators' page.
+fn page_block(mark: &str) -> String {
+    let page = std::fs::read_to_string(examples().join("../docs/operators.md")).unwrap();
+    let (_, rest) = page.split_once(mark).unwrap();
+    let lines = rest.lines().skip_while(|line| !line.starts_with("    "));
+    lines.map_while(|line| line.strip_prefix("    ")).map(|line| format!("{line}\n")).collect()
+}
+
+/// The operators' page shows the messages that its rules with mistakes lead to.
+#[test]
+fn test_mistakes_on_the_operators_page() {
+    let folder = temp_folder("page");
+    std::fs::write(folder.join("mistakes.rules"), page_block("<!-- mistakes.rules -->")).unwrap();
+    let check = ["check", "--rules", "mistakes.rules"];
+    let output = Command::new(BINARY).args(check).current_dir(&folder).output().unwrap();
+    assert_eq!(String::from_utf8(output.stderr).unwrap(), page_block("<!-- mistakes -->"));
+    assert_eq!(output.status.code(), Some(1));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
 /// `settings --json` starts a file that lacks only a key.
 #[test]
 fn test_printed_settings_are_taken() {
-    let folder = std::env::temp_dir().join(format!("wasabicrank-check-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
+    let folder = temp_folder("settings");
     let (settings, key) = (folder.join("entry.json"), folder.join("peer.key"));
     std::fs::write(&key, format!("{}\n", "5a".repeat(32))).unwrap();
     let printed = String::from_utf8(run(&["settings", "--json"], "").stdout).unwrap();
