--- a/cli/tests/test_check.rs
+++ b/cli/tests/test_check.rs
@@ -30,7 +30,7 @@
 fn temp_folder(name: &str) -> PathBuf {
     let name = format!("wasabicrank-check-{name}-{}", std::process::id());
     let folder = std::env::temp_dir().join(name);
-    std::fs::create_dir_all(&folder).unwrap();
+    std::fs::create_dir_all(&folder).expect("a folder for the test");
     folder
 }
 
@@ -43,10 +43,10 @@
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
         .spawn()
-        .unwrap();
+        .expect("the binary starts");
     // A command that does not read its input may be gone already.
-    let _ = child.stdin.take().unwrap().write_all(input.as_bytes());
-    child.wait_with_output().unwrap()
+    let _ = child.stdin.take().expect("its input is a pipe").write_all(input.as_bytes());
+    child.wait_with_output().expect("the binary ends")
 }
 
 #[test_case(Case { arguments: &["--version"], stdout: &["wasabicrank 0."], ..EMPTY }; "version")]
@@ -120,8 +120,8 @@
 }; "blanks in a token")]
 fn test_command(case: Case) {
     let output = run(case.arguments, case.input);
-    let stdout = String::from_utf8(output.stdout).unwrap();
-    let stderr = String::from_utf8(output.stderr).unwrap();
+    let stdout = String::from_utf8(output.stdout).expect("its output is text");
+    let stderr = String::from_utf8(output.stderr).expect("its errors are text");
     assert_eq!(output.status.code(), Some(case.code), "{stdout}{stderr}");
     assert_eq!(stdout.is_empty(), case.stdout.is_empty(), "{stdout}");
     assert_eq!(stderr.is_empty(), case.stderr.is_empty(), "{stderr}");
@@ -160,8 +160,9 @@
 
 /// Returns the indented block that follows `mark` in the operators' page.
 fn page_block(mark: &str) -> String {
-    let page = std::fs::read_to_string(examples().join("../docs/operators.md")).unwrap();
-    let (_, rest) = page.split_once(mark).unwrap();
+    let page = std::fs::read_to_string(examples().join("../docs/operators.md"))
+        .expect("the operators' page is there");
+    let (_, rest) = page.split_once(mark).expect("the page has the mark");
     let lines = rest.lines().skip_while(|line| !line.starts_with("    "));
     lines.map_while(|line| line.strip_prefix("    ")).map(|line| format!("{line}\n")).collect()
 }
@@ -197,7 +198,7 @@
 #[test_case(&["settings"]; "settings")]
 #[test_case(&["--help"]; "help")]
 fn test_closed_pipe_is_no_failure(arguments: &[&str]) {
-    let (reader, writer) = std::io::pipe().unwrap();
+    let (reader, writer) = std::io::pipe().expect("a pipe opens");
     drop(reader);
     let output = Command::new(BINARY)
         .args(arguments)
@@ -205,7 +206,7 @@
         .stdout(writer)
         .stderr(Stdio::piped())
         .output()
-        .unwrap();
+        .expect("the binary runs");
     assert!(output.status.success());
     assert_eq!(String::from_utf8_lossy(&output.stderr), "");
 }
--- a/lib/tests/test_rules_text.rs
+++ b/lib/tests/test_rules_text.rs
@@ -282,7 +282,7 @@
     ],
 }; "columns count characters, and control characters are not repeated")]
 fn test_refused(case: Case) {
-    let errors = parse(case.lines).unwrap_err();
+    let errors = parse(case.lines).expect_err("it must be refused");
     let found: Vec<String> = errors.iter().map(|error| error.to_string()).collect();
     assert_eq!(found, case.errors);
 }
@@ -367,5 +367,5 @@
             }
             Ok(())
         })
-        .unwrap();
+        .expect("every text gives rules or errors");
 }
--- a/lib/tests/test_settings.rs
+++ b/lib/tests/test_settings.rs
@@ -177,7 +177,7 @@
 fn test_refused(case: Case) {
     assert!(GOOD.contains(case.from));
     let text = GOOD.replacen(case.from, case.to, 1);
-    let error = Settings::parse("entry.json", &text).unwrap_err();
+    let error = Settings::parse("entry.json", &text).expect_err("it must be refused");
     assert_eq!(error.to_string(), case.message);
     assert_eq!(error.to_string().lines().count(), 1);
 }
