--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod exports;
 pub mod fleet;
 pub mod live;
+pub mod load;
 pub mod platform;
 pub mod ports;
 pub mod prefix_cache;
--- /dev/null
+++ b/lib/testutils/src/load/evidence.rs
@@ -0,0 +1,66 @@
+//! What callers were told, to be held against what ran once the load is over.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::load::Broken;
+use crate::load::LoadReport;
+use crate::records::RunRecord;
+
+/// What callers were told about one call.
+#[derive(Debug, Clone, Copy, Default)]
+struct Told {
+    answered: bool,
+    not_run: bool,
+}
+
+/// What callers were told.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Evidence {
+    /// The requests that were told not to have run.
+    not_run: BTreeSet<String>,
+    calls: BTreeMap<String, Told>,
+}
+
+impl Evidence {
+    /// Notes that a request was told not to have run.
+    pub(crate) fn add_not_run(&mut self, request: &str) {
+        if !request.is_empty() {
+            self.not_run.insert(request.to_owned());
+        }
+    }
+
+    /// Notes that a call was sent, and what its caller was told.
+    pub(crate) fn add_call(&mut self, key: &str, answered: bool, not_run: bool) {
+        let told = self.calls.entry(key.to_owned()).or_default();
+        told.answered |= answered;
+        told.not_run |= not_run;
+    }
+
+    /// Holds what was told about requests against the engines' record.
+    pub(crate) fn check_requests(&self, runs: &RunRecord, report: &mut LoadReport) {
+        for request in &self.not_run {
+            let runs = runs.runs(request);
+            if runs > 0 {
+                let request = request.clone();
+                report.add_broken(Broken::RanThoughNotRun { request, runs });
+            }
+        }
+    }
+
+    /// Holds what was told about calls against the services' record.
+    pub(crate) fn check_calls(&self, runs: &RunRecord, report: &mut LoadReport) {
+        for (key, told) in &self.calls {
+            let runs = runs.runs(key);
+            if runs > 1 {
+                report.add_broken(Broken::RanTwice { key: key.clone(), runs });
+            }
+            if runs > 0 && told.not_run {
+                report.add_broken(Broken::RanThoughNotRun { request: key.clone(), runs });
+            }
+            if runs == 0 && told.answered {
+                report.add_broken(Broken::AnsweredNotRun { key: key.clone() });
+            }
+        }
+    }
+}
