home: try homes under seeded schedules of failures

Cause: the argument for at most once needs a trial under messages that are lost, doubled and late, and hosts that die, freeze and stop.

Change: a loop over inputs for three to five Homes, with kills, restarts empty, freezes also between check and send, suspends in which the monotonic clock stands still, one-way and two-way cuts, changes of the list that hosts learn late, planned stops, clock rates and skew within bounds; a service that counts runs. Checked at each step: no key runs twice, none runs after not_run, answers are one per copy, of the copy's own call, and by its deadline. The lease's end is now reckoned when grants change instead of at each look.

Not yet done: the trials with each mechanism taken out.

--- a/lib/src/coordination/home_lease.rs
+++ b/lib/src/coordination/home_lease.rs
@@ -96,7 +96,7 @@
 
     pub(crate) fn set_hosts(&mut self, now: Moment, list: &LiveList) {
         self.sets.set_hosts(now, list);
-        self.holder.keep_voters(&self.sets);
+        self.holder.on_sets(&self.sets);
         for (shard, state) in (0..SHARDS).zip(&mut self.shards) {
             let ranked = rank(&shard_key(shard), self.sets.hosts());
             state.ranked = ranked.into_iter().cloned().collect();
@@ -106,7 +106,7 @@
     /// Returns the tenure of `shard` if its lease is valid at this moment.
     pub(crate) fn tenure(&self, now: Now, shard: u16) -> Option<Tenure> {
         let tenure = self.shards.get(usize::from(shard))?.tenure?;
-        self.holder.is_valid(now, shard, &self.sets).then_some(tenure)
+        self.holder.is_valid(now, shard).then_some(tenure)
     }
 
     /// Returns the shards on which this process holds a valid lease.
@@ -128,10 +128,12 @@
     ///
     /// It runs before and after each change, so that a lapse between two grants is never missed.
     pub(crate) fn refresh(&mut self, now: Now, out: &mut Vec<HomeOutput>) {
-        self.sets.retire(now.mono);
+        if self.sets.retire(now.mono) {
+            self.holder.on_sets(&self.sets);
+        }
         let (mut lost, mut gained) = (Vec::new(), Vec::new());
         for (shard, state) in (0..SHARDS).zip(&mut self.shards) {
-            let valid = self.holder.is_valid(now, shard, &self.sets);
+            let valid = self.holder.is_valid(now, shard);
             if state.tenure.is_some() && !valid {
                 state.tenure = None;
                 lost.push(shard);
@@ -167,7 +169,7 @@
             LeaseMessage::Grant { round, list, sets, shards, handed } => {
                 self.sets.heard(&from.host, *list, sets);
                 let granted = Granted { shards: shards.clone(), handed: handed.clone() };
-                self.holder.on_grant(&from.host, *round, &granted);
+                self.holder.on_grant(&from.host, *round, &granted, &self.sets);
             }
             LeaseMessage::Release { round, shards, successor } => {
                 let next = successor.as_ref();
@@ -246,7 +248,7 @@
         let round = self.holder.begin_round(now);
         if self.sets.is_listed(&self.own.host) {
             let granted = self.voter.on_ask(now.mono, &self.own, round, &shards);
-            self.holder.on_grant(&self.own.host, round, &granted);
+            self.holder.on_grant(&self.own.host, round, &granted, &self.sets);
         }
         let (list, sets) = (self.sets.version(), self.sets.hashes());
         let ask = LeaseMessage::Ask { round, list, sets, shards };
--- a/lib/src/coordination/lease.rs
+++ b/lib/src/coordination/lease.rs
@@ -78,6 +78,15 @@
     ballots: BTreeMap<HostName, Ballot>,
     /// Replies to earlier rounds are ignored, as their grants were released.
     first_round: u64,
+    /// Until when a majority stands; it is reckoned when grants or sets change.
+    bound: Option<Bound>,
+}
+
+/// The end of a lease on both clocks.
+#[derive(Debug, Clone, Copy)]
+struct Bound {
+    until: Moment,
+    wall_until: WallTime,
 }
 
 /// The grants that this process has collected.
@@ -108,7 +117,13 @@
     }
 
     /// Counts a voter's reply to an ask.
-    pub(crate) fn on_grant(&mut self, voter: &HostName, round: u64, granted: &Granted) {
+    pub(crate) fn on_grant(
+        &mut self,
+        voter: &HostName,
+        round: u64,
+        granted: &Granted,
+        sets: &LeaseSets,
+    ) {
         let Some(sent) = self.rounds.iter().find(|known| known.number == round) else {
             return;
         };
@@ -123,19 +138,24 @@
             }
             let handed = granted.handed.contains(&shard);
             tally.count(voter, Ballot { until, wall_until, handed });
+            tally.reckon(sets);
         }
     }
 
     /// Tells whether the lease on `shard` is valid at `now`.
-    pub(crate) fn is_valid(&self, now: Now, shard: u16, sets: &LeaseSets) -> bool {
-        self.majority(shard, sets, |ballot| ballot.is_valid(now))
+    pub(crate) fn is_valid(&self, now: Now, shard: u16) -> bool {
+        let bound = self.tallies.get(usize::from(shard)).and_then(|tally| tally.bound);
+        bound.is_some_and(|bound| now.mono < bound.until && now.wall < bound.wall_until)
     }
 
     /// Tells whether a majority granted `shard` as the successor of the holder before.
     ///
     /// Then nobody else held it in between: a voter in common would have granted to that one last.
     pub(crate) fn was_handed(&self, now: Now, shard: u16, sets: &LeaseSets) -> bool {
-        self.majority(shard, sets, |ballot| ballot.is_valid(now) && ballot.handed)
+        let handed = |ballot: &Ballot| ballot.is_valid(now) && ballot.handed;
+        self.tallies.get(usize::from(shard)).is_some_and(|tally| {
+            sets.has_majorities(|host| tally.ballots.get(host).is_some_and(handed))
+        })
     }
 
     /// Gives up what was granted for `shard`; returns whether there was anything.
@@ -147,13 +167,15 @@
         tally.first_round = first_round;
         let had = !tally.ballots.is_empty();
         tally.ballots.clear();
+        tally.bound = None;
         had
     }
 
-    /// Forgets the grants of hosts that are in none of `sets`.
-    pub(crate) fn keep_voters(&mut self, sets: &LeaseSets) {
+    /// Counts anew after the sets have changed, and forgets the grants of hosts in none of them.
+    pub(crate) fn on_sets(&mut self, sets: &LeaseSets) {
         for tally in &mut self.tallies {
             tally.ballots.retain(|host, _| sets.is_voter(host));
+            tally.reckon(sets);
         }
     }
 
@@ -161,18 +183,16 @@
     pub(crate) fn last_round(&self) -> u64 {
         self.round
     }
-
-    fn majority(&self, shard: u16, sets: &LeaseSets, holds: impl Fn(&Ballot) -> bool) -> bool {
-        self.tallies.get(usize::from(shard)).is_some_and(|tally| {
-            sets.has_majorities(|host| tally.ballots.get(host).is_some_and(&holds))
-        })
-    }
 }
 
 impl Ballot {
     fn is_valid(&self, now: Now) -> bool {
         now.mono < self.until && now.wall < self.wall_until
     }
+
+    fn bound(&self) -> Bound {
+        Bound { until: self.until, wall_until: self.wall_until }
+    }
 }
 
 impl Tally {
@@ -182,6 +202,36 @@
             *known = ballot;
         }
     }
+
+    /// Finds until when a majority of each set has granted.
+    fn reckon(&mut self, sets: &LeaseSets) {
+        self.bound = None;
+        for hosts in sets.each() {
+            let Some(bound) = self.bound_of(hosts) else {
+                self.bound = None;
+                return;
+            };
+            self.bound = Some(self.bound.map_or(bound, |other| other.earlier(bound)));
+        }
+    }
+
+    /// Finds until when a majority of `hosts` has granted, by the grants that last longest.
+    fn bound_of(&self, hosts: &[HostName]) -> Option<Bound> {
+        let ballots = hosts.iter().filter_map(|host| self.ballots.get(host));
+        let mut bounds: Vec<_> = ballots.map(Ballot::bound).collect();
+        bounds.sort_by_key(|bound| std::cmp::Reverse(bound.until));
+        let majority = bounds.get(..=hosts.len() / 2)?;
+        majority.iter().copied().reduce(Bound::earlier)
+    }
+}
+
+impl Bound {
+    fn earlier(self, other: Bound) -> Bound {
+        Bound {
+            until: self.until.min(other.until),
+            wall_until: self.wall_until.min(other.wall_until),
+        }
+    }
 }
 
 /// Returns `span` in whole milliseconds.
--- a/lib/src/coordination/lease_sets.rs
+++ b/lib/src/coordination/lease_sets.rs
@@ -93,7 +93,9 @@
     }
 
     /// Drops the sets whose majority has moved on and whose grants have lapsed.
-    pub(crate) fn retire(&mut self, now: Moment) {
+    ///
+    /// Returns whether the sets in force changed.
+    pub(crate) fn retire(&mut self, now: Moment) -> bool {
         for at in 0..self.sets.len().saturating_sub(1) {
             let next = self.sets[at + 1].version;
             let left = |host: &HostName| self.reached(host) >= next;
@@ -104,11 +106,20 @@
         let lapse = self.lapse;
         let ended = |set: &HostSet| set.left.is_some_and(|at| now.since(at) >= lapse);
         let count = self.sets.iter().take_while(|set| ended(set)).count();
+        if count == 0 {
+            return false;
+        }
         self.sets.drain(..count);
         self.adopt_waiting();
         // Without this a long-lived host would remember every host that was ever published.
         let sets = &self.sets;
         self.seen.retain(|host, _| sets.iter().any(|set| set.hosts.contains(host)));
+        true
+    }
+
+    /// Returns the hosts of each set in force, oldest first.
+    pub(crate) fn each(&self) -> impl Iterator<Item = &[HostName]> {
+        self.sets.iter().map(|set| &set.hosts[..])
     }
 
     /// Returns the version of the live list.
--- /dev/null
+++ b/lib/tests/homes/mod.rs
@@ -0,0 +1,629 @@
+//! A loop over inputs for several `Homes`: messages, clocks, faults and a service that counts runs.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use wasabicrank_lib::coordination::*;
+use wasabicrank_lib::state::*;
+
+/// Wall time at the start of a schedule, in milliseconds.
+const EPOCH: u64 = 1_700_000_000_000;
+pub const TICK: u64 = 50_000;
+const BEAT: u64 = 150_000;
+const SUSPECT: Duration = Duration::from_millis(500);
+/// How far two wall clocks may be apart, in milliseconds.
+const SKEW: u64 = 200;
+/// Real time in microseconds.
+type Micros = u64;
+
+/// What a schedule may do to the hosts; chances are per mille and step.
+#[derive(Debug, Clone, Copy)]
+pub struct Faults {
+    pub drop: u32,
+    pub repeat: u32,
+    pub delay: u32,
+    pub cut: u32,
+    pub kill: u32,
+    pub freeze: u32,
+    pub suspend: u32,
+    pub stop: u32,
+    pub list: u32,
+    pub sleepy_send: u32,
+    pub lost_reply: u32,
+}
+
+pub const NONE: Faults = Faults {
+    drop: 0,
+    repeat: 0,
+    delay: 0,
+    cut: 0,
+    kill: 0,
+    freeze: 0,
+    suspend: 0,
+    stop: 0,
+    list: 0,
+    sleepy_send: 0,
+    lost_reply: 0,
+};
+
+#[derive(Debug, Clone)]
+enum Input {
+    Peer(Box<Envelope>),
+    Tick,
+    Beat,
+    Call(Box<ForwardedCall>),
+    /// The connection stands or failed; then `may_send` is asked.
+    Connected(CallKey, u64),
+    /// The byte is written: the service runs the call.
+    Written(CallKey, u64),
+    Result(CallKey, CallResult),
+    List(usize),
+    Stop,
+}
+
+#[derive(Debug)]
+struct Host {
+    name: HostName,
+    homes: Homes,
+    members: Members,
+    incarnation: Incarnation,
+    started: Micros,
+    alive: bool,
+    stopping: bool,
+    thaws: Micros,
+    /// The monotonic clock's rate in parts of a thousand, and what suspends took from it.
+    rate: u64,
+    suspended: Micros,
+    /// What the wall clock is ahead, in milliseconds, plus half of the skew.
+    ahead: u64,
+    list: usize,
+    beat: u64,
+}
+
+/// One copy of a call at one host.
+#[derive(Debug, Clone)]
+struct Copy {
+    key: CallKey,
+    body: u64,
+    host: usize,
+    incarnation: Incarnation,
+    due: Micros,
+    excused: bool,
+    answers: Vec<Result<u64, Refusal>>,
+}
+
+/// What was counted over a schedule.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Counts {
+    pub copies: u64,
+    pub served: u64,
+    pub not_run: u64,
+    pub failed: u64,
+    pub unknown: u64,
+    pub runs: u64,
+}
+
+pub struct World {
+    rng: SmallRng,
+    faults: Faults,
+    now: Micros,
+    seq: u64,
+    queue: BinaryHeap<Reverse<(Micros, u64, usize, u64)>>,
+    inputs: BTreeMap<u64, Input>,
+    hosts: Vec<Host>,
+    lists: Vec<(Micros, LiveList)>,
+    cuts: BTreeMap<(usize, usize), Micros>,
+    runs: BTreeMap<CallKey, Vec<u64>>,
+    not_run: BTreeMap<CallKey, usize>,
+    copies: Vec<Copy>,
+    settings: HomeSettings,
+    keys: u64,
+    pub error: Option<String>,
+}
+
+impl World {
+    pub fn new(seed: u64, count: usize, settings: HomeSettings, faults: Faults) -> World {
+        let mut world = World {
+            rng: SmallRng::seed_from_u64(seed),
+            faults,
+            now: 0,
+            seq: 0,
+            queue: BinaryHeap::new(),
+            inputs: BTreeMap::new(),
+            hosts: Vec::new(),
+            lists: Vec::new(),
+            cuts: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            not_run: BTreeMap::new(),
+            copies: Vec::new(),
+            settings,
+            keys: 0,
+            error: None,
+        };
+        let names: Vec<_> = (0..count).map(name_of).collect();
+        world.lists.push((0, list_of(1, &names)));
+        for at in 0..count {
+            world.start(at, 0);
+        }
+        world
+    }
+
+    /// Runs until `until`, trying a fault and a call in each step.
+    pub fn run(&mut self, until: Micros, quiet_after: Micros, calls: u32) {
+        let mut step = self.now;
+        while step < until && self.error.is_none() {
+            step += TICK;
+            self.drain(step);
+            if step < quiet_after {
+                self.fault();
+            }
+            if self.rng.random_range(0..1000) < calls {
+                self.call();
+            }
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.faults = NONE;
+        for at in 0..self.hosts.len() {
+            let latest = self.lists.len() - 1;
+            self.push(self.now, at, Input::List(latest));
+        }
+    }
+
+    pub fn begin_stop(&mut self, at: usize) {
+        self.push(self.now, at, Input::Stop);
+    }
+
+    pub fn is_stopped(&self, at: usize) -> bool {
+        let host = &self.hosts[at];
+        host.homes.stopped(self.clock(at), &host.members)
+    }
+
+    pub fn restart(&mut self, at: usize) {
+        let latest = self.lists.len() - 1;
+        self.start(at, latest);
+    }
+
+    fn freeze(&mut self, at: usize, span: Micros) {
+        self.hosts[at].thaws = self.hosts[at].thaws.max(self.now + span);
+        for copy in self.copies.iter_mut().filter(|copy| copy.host == at) {
+            copy.excused |= copy.answers.is_empty();
+        }
+    }
+
+    /// Checks that each copy got one answer, and counts the answers.
+    pub fn finish(&mut self) -> Counts {
+        let mut counts = Counts::default();
+        let mut wrong = None;
+        for copy in &self.copies {
+            let host = &self.hosts[copy.host];
+            if host.incarnation != copy.incarnation || !host.alive {
+                continue;
+            }
+            if copy.answers.len() != 1 {
+                wrong = Some(format!("{} answers to {copy:?}", copy.answers.len()));
+            }
+            counts.copies += 1;
+            match copy.answers.first() {
+                Some(Ok(_)) => counts.served += 1,
+                Some(Err(refusal)) if refusal.outcome == Outcome::NotRun => counts.not_run += 1,
+                Some(Err(refusal)) if refusal.outcome == Outcome::Failed => counts.failed += 1,
+                _ => counts.unknown += 1,
+            }
+        }
+        counts.runs = self.runs.values().map(|runs| runs.len() as u64).sum();
+        if self.error.is_none() {
+            self.error = wrong;
+        }
+        counts
+    }
+
+    fn start(&mut self, at: usize, list: usize) {
+        let incarnation = Incarnation(self.rng.random());
+        let host = name_of(at);
+        let rate = self.rng.random_range(995..=1005);
+        let mut fresh = Host {
+            name: host.clone(),
+            homes: Homes::new(host.clone(), incarnation, self.settings, 0, Now::default()),
+            members: Members::new(host.clone(), ZoneName::new("z"), SUSPECT, Moment(0)),
+            incarnation,
+            started: self.now,
+            alive: true,
+            stopping: false,
+            thaws: 0,
+            rate,
+            suspended: 0,
+            ahead: self.rng.random_range(0..=SKEW),
+            list,
+            beat: 0,
+        };
+        let now = clock_of(&fresh, self.now);
+        let seed = self.rng.random();
+        fresh.homes = Homes::new(host, incarnation, self.settings, seed, now);
+        fresh.homes.set_hosts(now, &self.lists[list].1);
+        fresh.members.set_hosts(now.mono, &self.lists[list].1);
+        if at < self.hosts.len() {
+            self.hosts[at] = fresh;
+        } else {
+            self.hosts.push(fresh);
+        }
+        let first = self.rng.random_range(0..TICK);
+        self.push(self.now + first, at, Input::Tick);
+        self.push(self.now + first, at, Input::Beat);
+    }
+
+    fn push(&mut self, when: Micros, host: usize, input: Input) {
+        self.seq += 1;
+        let epoch = self.hosts[host].incarnation.0;
+        self.inputs.insert(self.seq, input);
+        self.queue.push(Reverse((when, self.seq, host, epoch)));
+    }
+
+    fn drain(&mut self, until: Micros) {
+        while let Some(&Reverse((when, seq, at, epoch))) = self.queue.peek()
+            && when <= until
+        {
+            self.queue.pop();
+            let host = &self.hosts[at];
+            if host.thaws > when {
+                // A frozen process finds its inputs when it wakes, in their order.
+                self.queue.push(Reverse((host.thaws, seq, at, epoch)));
+                continue;
+            }
+            self.now = when;
+            let input = self.inputs.remove(&seq);
+            let same = host.incarnation.0 == epoch || matches!(input, Some(Input::Peer(_)));
+            if let Some(input) = input
+                && host.alive
+                && same
+            {
+                self.handle(at, input);
+            }
+        }
+        self.now = until;
+    }
+
+    fn clock(&self, at: usize) -> Now {
+        clock_of(&self.hosts[at], self.now)
+    }
+
+    fn handle(&mut self, at: usize, input: Input) {
+        let now = self.clock(at);
+        let host = &mut self.hosts[at];
+        let outputs = match input {
+            Input::Peer(envelope) => {
+                let current = host.members.check_sender(&envelope.from, envelope.incarnation);
+                if let PeerMessage::Heartbeat(beat) = &envelope.message {
+                    let from = &envelope.from;
+                    host.members.on_heartbeat(now.mono, from, envelope.incarnation, beat);
+                }
+                match current {
+                    Sender::Current => host.homes.on_peer(now, &envelope),
+                    _ => Vec::new(),
+                }
+            }
+            Input::Tick => {
+                host.members.on_tick(now.mono);
+                let outputs = host.homes.on_tick(now, &host.members);
+                self.push(self.now + TICK, at, Input::Tick);
+                outputs
+            }
+            Input::Beat => return self.beat(at, now),
+            Input::Call(call) => host.homes.on_call(now, &host.members, *call),
+            Input::Connected(key, body) => return self.connected(at, now, key, body),
+            Input::Written(key, body) => return self.written(at, key, body),
+            Input::Result(key, result) => host.homes.on_result(now, key, result),
+            Input::List(list) => {
+                host.list = list.max(host.list);
+                host.members.set_hosts(now.mono, &self.lists[list].1);
+                host.homes.set_hosts(now, &self.lists[list].1)
+            }
+            Input::Stop => {
+                host.stopping = true;
+                host.members.begin_stop();
+                host.homes.begin_stop(now, &host.members)
+            }
+        };
+        for output in outputs {
+            self.output(at, output);
+        }
+    }
+
+    fn output(&mut self, at: usize, output: HomeOutput) {
+        match output {
+            HomeOutput::Send { to, message } => self.send(at, &to, message),
+            HomeOutput::Run(call) => {
+                let wait = self.rng.random_range(500..20_000);
+                let body = body_of(&call.call);
+                let key = call.call.key.expect("calls of schedules have keys");
+                self.push(self.now + wait, at, Input::Connected(key, body));
+            }
+            HomeOutput::Reply { request, result } => self.answered(at, request, result),
+            HomeOutput::Event(_) => {}
+        }
+    }
+
+    /// The last check before the send, after which the process may still freeze.
+    fn connected(&mut self, at: usize, now: Now, key: CallKey, body: u64) {
+        let failed = self.chance(self.faults.lost_reply);
+        if failed || !self.hosts[at].homes.may_send(now, key) {
+            return self.push(self.now, at, Input::Result(key, CallResult::NotSent));
+        }
+        if self.chance(self.faults.sleepy_send) {
+            let span = self.rng.random_range(TICK..1_500_000);
+            self.freeze(at, span);
+        }
+        self.push(self.now, at, Input::Written(key, body));
+    }
+
+    fn written(&mut self, at: usize, key: CallKey, body: u64) {
+        let runs = self.runs.entry(key).or_default();
+        runs.push(body);
+        if runs.len() > 1 {
+            self.fail(format!("{key} ran {} times, last at host {at}", self.runs[&key].len()));
+        }
+        if self.not_run.contains_key(&key) {
+            self.fail(format!("{key} ran at host {at} after `not_run` was said"));
+        }
+        let result = match self.chance(self.faults.lost_reply) {
+            true => CallResult::Lost,
+            false => CallResult::Replied(reply_of(body)),
+        };
+        let wait = self.rng.random_range(1_000..200_000);
+        self.push(self.now + wait, at, Input::Result(key, result));
+    }
+
+    fn answered(&mut self, at: usize, request: RequestId, result: Result<ServiceReply, Refusal>) {
+        let now = self.now;
+        let copy = &mut self.copies[request.seq as usize];
+        let result = result.map(|reply| number_in(&reply.body));
+        copy.answers.push(result);
+        let copy = copy.clone();
+        let ran = self.runs.get(&copy.key).cloned().unwrap_or_default();
+        if copy.answers.len() > 1 {
+            self.fail(format!("more than one answer to {copy:?}"));
+        }
+        if now > copy.due && !copy.excused && copy.incarnation == self.hosts[at].incarnation {
+            self.fail(format!("answered {} us late: {copy:?}", now - copy.due));
+        }
+        match result {
+            Ok(body) if body != copy.body || ran != [body] => {
+                self.fail(format!("an answer of another call, runs {ran:?}: {copy:?}"));
+            }
+            Err(refusal) if refusal.outcome == Outcome::NotRun => {
+                if !ran.is_empty() {
+                    self.fail(format!("`not_run` after a run: {copy:?}"));
+                }
+                self.not_run.insert(copy.key, at);
+            }
+            _ => {}
+        }
+    }
+
+    fn beat(&mut self, at: usize, now: Now) {
+        self.push(self.now + BEAT, at, Input::Beat);
+        let host = &mut self.hosts[at];
+        host.beat += 1;
+        let beat = Heartbeat {
+            beat: host.beat,
+            list: self.lists[host.list].1.version,
+            stopping: host.stopping,
+            shards: host.homes.held_shards(now),
+            ..Heartbeat::default()
+        };
+        let peers: Vec<_> = host.members.peers().map(|(name, _)| name.clone()).collect();
+        for to in peers {
+            self.send(at, &to, PeerMessage::Heartbeat(Box::new(beat.clone())));
+        }
+    }
+
+    fn send(&mut self, at: usize, to: &HostName, message: PeerMessage) {
+        let Some(to) = self.hosts.iter().position(|host| host.name == *to) else {
+            return;
+        };
+        let cut = self.cuts.get(&(at, to)).is_some_and(|until| self.now < *until);
+        if cut || self.chance(self.faults.drop) {
+            return;
+        }
+        let host = &self.hosts[at];
+        let (from, incarnation) = (host.name.clone(), host.incarnation);
+        let envelope = Envelope { from, incarnation, message };
+        let copies = if self.chance(self.faults.repeat) { 2 } else { 1 };
+        for _ in 0..copies {
+            let late = self.chance(self.faults.delay);
+            let most = if late { 1_500_000 } else { 5_000 };
+            let when = self.now + self.rng.random_range(500..most);
+            self.push(when, to, Input::Peer(Box::new(envelope.clone())));
+        }
+    }
+
+    /// Sends one to three copies of a call to hosts, some of them later, some with another body.
+    fn call(&mut self) {
+        self.keys += 1;
+        let made = EPOCH + self.now / 1000 + self.rng.random_range(0..=SKEW);
+        let key = CallKey((u128::from(made) << 80) | (7 << 76) | u128::from(self.keys));
+        let later = [0, 3_000, 40_000, 500_000, 1_200_000];
+        for copy in 0..self.rng.random_range(1..=3) {
+            let at = self.rng.random_range(0..self.hosts.len());
+            let wait = if copy == 0 { 0 } else { later[self.rng.random_range(0..later.len())] };
+            let body = if self.rng.random_range(0..20) == 0 { 7 } else { self.keys << 8 };
+            self.copy(at, wait, key, body);
+        }
+    }
+
+    fn copy(&mut self, at: usize, wait: Micros, key: CallKey, body: u64) {
+        let host = &self.hosts[at];
+        if !host.alive || host.stopping {
+            return;
+        }
+        let left = self.rng.random_range(300_000..1_500_000);
+        let request = RequestId { origin: host.incarnation, seq: self.copies.len() as u64 };
+        // One per cent of clock drift and one tick are allowed.
+        let due = self.now + wait + left + left / 100 + TICK;
+        let (incarnation, excused) = (host.incarnation, host.thaws > self.now);
+        let answers = Vec::new();
+        self.copies.push(Copy { key, body, host: at, incarnation, due, excused, answers });
+        let call =
+            ForwardedCall { call: call_of(request, key, body), left: Duration::from_micros(left) };
+        self.push(self.now + wait, at, Input::Call(Box::new(call)));
+    }
+
+    fn fault(&mut self) {
+        let faults = self.faults;
+        let at = self.rng.random_range(0..self.hosts.len());
+        let other = self.rng.random_range(0..self.hosts.len());
+        let span = self.rng.random_range(TICK..1_500_000);
+        if self.chance(faults.cut) {
+            self.cuts.insert((at, other), self.now + span);
+            if self.rng.random() {
+                self.cuts.insert((other, at), self.now + span);
+            }
+        }
+        if self.chance(faults.cut / 4) {
+            self.split(span);
+        }
+        if self.chance(faults.freeze) {
+            self.freeze(at, span);
+        }
+        if self.chance(faults.suspend) && self.hosts[at].thaws <= self.now {
+            self.freeze(at, span);
+            self.hosts[at].suspended += span;
+        }
+        if self.chance(faults.stop) && self.hosts[at].alive {
+            self.push(self.now, at, Input::Stop);
+        }
+        if self.chance(faults.kill) && self.may_start(at) {
+            self.hosts[at].alive = false;
+            let latest = self.lists.len() - 1;
+            self.start(at, latest);
+        }
+        if self.chance(faults.list) {
+            self.publish();
+        }
+    }
+
+    /// Cuts the hosts into two groups.
+    fn split(&mut self, span: Micros) {
+        let side: Vec<bool> = self.hosts.iter().map(|_| self.rng.random()).collect();
+        for a in 0..side.len() {
+            for b in 0..side.len() {
+                if side[a] != side[b] {
+                    self.cuts.insert((a, b), self.now + span);
+                }
+            }
+        }
+    }
+
+    /// Publishes a list with one entry host more, fewer or exchanged; hosts learn it late.
+    fn publish(&mut self) {
+        let last = &self.lists[self.lists.len() - 1].1;
+        let mut names: Vec<_> = last.entry_hosts.iter().map(|host| host.name.clone()).collect();
+        let version = last.version + 1;
+        let gone = self.rng.random_range(0..names.len());
+        let change = self.rng.random_range(0..3);
+        if change != 0 && names.len() > 2 {
+            names.remove(gone);
+        }
+        let add = (0..self.hosts.len()).find(|&at| !names.contains(&name_of(at)));
+        let fresh = change != 1 && self.hosts.len() < 7 && names.len() < 5;
+        if fresh && self.fresh_allowed(&names) {
+            names.push(name_of(self.hosts.len()));
+            self.lists.push((self.now, list_of(version, &names)));
+            let latest = self.lists.len() - 1;
+            self.start(self.hosts.len(), latest);
+        } else {
+            if let Some(add) = add.filter(|_| change != 1 && names.len() < 5) {
+                names.push(name_of(add));
+            }
+            self.lists.push((self.now, list_of(version, &names)));
+        }
+        let latest = self.lists.len() - 1;
+        for at in 0..self.hosts.len() {
+            let long = self.chance(300);
+            let most = if long { 4_000_000 } else { 300_000 };
+            let when = self.now + self.rng.random_range(1_000..most);
+            self.push(when, at, Input::List(latest));
+        }
+    }
+
+    fn may_start(&self, at: usize) -> bool {
+        let last = &self.lists[self.lists.len() - 1].1;
+        let names: Vec<_> = last.entry_hosts.iter().map(|host| host.name.clone()).collect();
+        !names.contains(&name_of(at)) || self.fresh_allowed(&names)
+    }
+
+    /// Tells whether one more of `names` may start now within what is assumed: most of a set's
+    /// processes are older than the newest list that a live process does not know yet.
+    fn fresh_allowed(&self, names: &[HostName]) -> bool {
+        let live = self.hosts.iter().filter(|host| host.alive);
+        let oldest = live.map(|host| host.list).min().unwrap_or(0);
+        let Some((since, _)) = self.lists.get(oldest + 1) else {
+            return true;
+        };
+        // A set is in use for a lease longer than the last host that knows it.
+        let member = |host: &&Host| names.contains(&host.name);
+        let fresh = self.hosts.iter().filter(member).filter(|host| host.started >= *since).count();
+        (fresh + 1) * 2 <= names.len()
+    }
+
+    fn chance(&mut self, per_mille: u32) -> bool {
+        per_mille > 0 && self.rng.random_range(0..1000) < per_mille
+    }
+
+    fn fail(&mut self, error: String) {
+        let now = self.now;
+        self.error.get_or_insert_with(|| format!("at {now} us: {error}"));
+    }
+}
+
+fn clock_of(host: &Host, now: Micros) -> Now {
+    let run = now - host.started - host.suspended.min(now - host.started);
+    let wall = EPOCH + now / 1000 + host.ahead;
+    Now { mono: Moment(run * host.rate / 1000), wall: WallTime(wall) }
+}
+
+fn name_of(at: usize) -> HostName {
+    HostName::new(format!("h{at}"))
+}
+
+pub fn list_of(version: u64, names: &[HostName]) -> LiveList {
+    let peer_addr = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
+    let zone = ZoneName::new("z");
+    let entry = |name: &HostName| EntryHost { name: name.clone(), zone: zone.clone(), peer_addr };
+    let entry_hosts = names.iter().map(entry).collect();
+    LiveList { version, entry_hosts, ..LiveList::default() }
+}
+
+pub fn call_of(id: RequestId, key: CallKey, body: u64) -> ServiceCall {
+    ServiceCall {
+        id,
+        customer: CustomerName::new("c"),
+        service: ServiceName::new("s"),
+        method: "POST".into(),
+        path: "/".into(),
+        body: body.to_le_bytes().as_slice().into(),
+        media: None,
+        repeatable: false,
+        key: Some(key),
+        deadline: Moment(0),
+    }
+}
+
+fn body_of(call: &ServiceCall) -> u64 {
+    number_in(&call.body)
+}
+
+fn number_in(body: &[u8]) -> u64 {
+    u64::from_le_bytes(body.try_into().expect("bodies of schedules are numbers"))
+}
+
+fn reply_of(body: u64) -> ServiceReply {
+    ServiceReply { status: 200, media: None, body: body.to_le_bytes().as_slice().into() }
+}
