placement: spread short requests wider and keep a larger reserve

Cause: few engines counted as equal to the best, so entry hosts met at them within one heartbeat.

Change: estimates within 30 ms of the best count as equal, and the reserve is 1.5 times the part of requests that are not long.

--- a/lib/src/state/placement.rs
+++ b/lib/src/state/placement.rs
@@ -42,7 +42,7 @@
 const CONSIDERED_MAX: usize = 8;
 
 /// The estimates that count as equal to the best: this much longer.
-const NEAR_SPAN: Duration = Duration::from_millis(10);
+const NEAR_SPAN: Duration = Duration::from_millis(30);
 
 /// The estimates that count as equal to the best: this part longer.
 const NEAR_PART: f64 = 0.05;
--- a/lib/src/state/placement_reserve.rs
+++ b/lib/src/state/placement_reserve.rs
@@ -1,4 +1,5 @@
-//! The reserve: engines kept free of long prompts, as many as the part of short requests in the load.
+//! The reserve: engines kept free of long prompts, somewhat more than the part of
+//! short requests in the load.
 
 use std::time::Duration;
 
@@ -9,6 +10,9 @@
 /// The time over which the load is averaged.
 const LOAD_SPAN: Duration = Duration::from_secs(60);
 
+/// The engines in the reserve for each part of the load, so that it has room for peaks.
+const SHARE_FACTOR: f64 = 1.5;
+
 /// The largest part of the engines in the reserve.
 const SHARE_MAX: f64 = 0.5;
 
@@ -50,7 +54,7 @@
 
     /// Returns the bound below which an engine's hash puts it into the reserve.
     pub(crate) fn cutoff(share: f64, candidates: &[Candidate]) -> u64 {
-        let share = share.min(SHARE_MAX);
+        let share = (share * SHARE_FACTOR).min(SHARE_MAX);
         if candidates.len() < FLEET_MIN {
             return 0;
         }
