--- a/lib/src/state/memory_shares.rs
+++ b/lib/src/state/memory_shares.rs
@@ -56,8 +56,14 @@
         let Some(kept) = self.kept else { return true };
         let after = self.held_below(kept.level).saturating_add(need);
         let beside = after.saturating_add(kept.need) <= self.total;
-        let short = !level.is_long() && after <= self.total - long_memory(self.total);
-        level < kept.level && (beside || short)
+        level < kept.level && (beside || self.is_in_short_part(need, level))
+    }
+
+    /// Tells whether a prompt stays within the part that long prompts leave to the others.
+    fn is_in_short_part(&self, need: u32, level: LengthLevel) -> bool {
+        let held = self.held_below(LengthLevel::of(LONG_TOKENS));
+        let part = self.total - long_memory(self.total);
+        !level.is_long() && held.saturating_add(need) <= part
     }
 
     /// Takes what `fits` allowed.
