engine_queue: let a very long prompt that is due take the memory it waits for

Cause: a prompt of nearly all that long prompts may use never fitted beside short ones that kept coming, since the room left to them was asked for even when they were held back for its sake. Seen by a_long_ask_is_granted_in_the_end_although_short_ones_keep_coming: not granted within 100 s.

Change: a prompt past its target leaves only the unused part of the short ones' memory.

--- a/lib/src/state/engine_queue.rs
+++ b/lib/src/state/engine_queue.rs
@@ -140,7 +140,7 @@
             return Some(self.denial(waiting, Reason::PromptTooLong, None));
         }
         if waiting.ask.segment {
-            let full = need > self.shares().free_for(waiting.size());
+            let full = need > self.shares().free_for(waiting.size(), false);
             return full.then(|| self.denial(waiting, Reason::MemoryFull, Some(self.turnover())));
         }
         if self.waiting.len() >= WAITING_MAX {
@@ -361,8 +361,9 @@
                 break;
             }
             let (need, size) = (waiting.need(), waiting.size());
-            if !memory.fits(need, size) {
-                if place.0.is_past(now) {
+            let due = place.0.is_past(now);
+            if !memory.fits(need, size, due) {
+                if due {
                     memory.keep(need, size);
                 }
                 continue;
--- a/lib/src/state/memory_shares.rs
+++ b/lib/src/state/memory_shares.rs
@@ -10,12 +10,6 @@
 use super::memory::MemoryAccount;
 use super::memory::long_memory;
 
-/// Returns what a long prompt must leave free when others hold `short_held` of `total` tokens.
-pub(crate) fn headroom(total: u32, short_held: u32) -> u32 {
-    let part = total - long_memory(total);
-    part.saturating_sub(short_held).max(part / 2)
-}
-
 /// Memory kept for a prompt that waits.
 #[derive(Debug, Clone, Copy)]
 struct Kept {
@@ -39,16 +33,30 @@
         Shares { total: account.total(), free: account.free(), held, kept: None }
     }
 
-    /// Tells whether a prompt of `level` can have `need` tokens now.
-    pub(crate) fn fits(&self, need: u32, level: LengthLevel) -> bool {
-        need <= self.free_for(level) && self.may_pass(need, level)
+    /// Tells whether a prompt of `level`, past its target if it is `due`, can have `need` tokens now.
+    pub(crate) fn fits(&self, need: u32, level: LengthLevel, due: bool) -> bool {
+        need <= self.free_for(level, due) && self.may_pass(need, level)
+    }
+
+    /// Returns what is free for a prompt of `level`, past its target if it is `due`.
+    pub(crate) fn free_for(&self, level: LengthLevel, due: bool) -> u32 {
+        let left = if level.is_long() { self.left_by_long(due) } else { 0 };
+        self.free.saturating_sub(left)
+    }
+
+    /// Returns what a long prompt must leave free.
+    ///
+    /// Beyond the part of the others that they do not hold, it leaves them room to go on, until it is
+    /// due; from then on they are held to what it leaves, so that it comes to fit.
+    fn left_by_long(&self, due: bool) -> u32 {
+        let part = self.short_part();
+        let unused = part.saturating_sub(self.held_below(LengthLevel::of(LONG_TOKENS)));
+        if due { unused } else { unused.max(part / 2) }
     }
 
-    /// Returns what is free for a prompt of `level`.
-    pub(crate) fn free_for(&self, level: LengthLevel) -> u32 {
-        let short_held = self.held_below(LengthLevel::of(LONG_TOKENS));
-        let kept = if level.is_long() { headroom(self.total, short_held) } else { 0 };
-        self.free.saturating_sub(kept)
+    /// Returns the part that long prompts leave to the others.
+    fn short_part(&self) -> u32 {
+        self.total - long_memory(self.total)
     }
 
     /// Tells whether a prompt may pass the one that memory is kept for.
@@ -62,8 +70,7 @@
     /// Tells whether a prompt stays within the part that long prompts leave to the others.
     fn is_in_short_part(&self, need: u32, level: LengthLevel) -> bool {
         let held = self.held_below(LengthLevel::of(LONG_TOKENS));
-        let part = self.total - long_memory(self.total);
-        !level.is_long() && held.saturating_add(need) <= part
+        !level.is_long() && held.saturating_add(need) <= self.short_part()
     }
 
     /// Takes what `fits` allowed.
