operators: serve a page with the fleet and the time line as a picture

Operators should see the fleet at a glance without any tool. Every entry host serves one page, made of its own files at build time, whose policy allows nothing from elsewhere.

time line: heartbeats carry the hybrid clock both ways, so that events of different hosts keep their order. metrics: give the main counts to the status.

--- a/lib/src/transport/core_thread.rs
+++ b/lib/src/transport/core_thread.rs
@@ -32,8 +32,10 @@
 use crate::coordination::Node;
 use crate::coordination::NodeStatus;
 use crate::coordination::Output;
+use crate::coordination::PeerMessage;
 use crate::coordination::StreamReport;
 use crate::state::AttemptId;
+use crate::state::HybridTime;
 use crate::state::Moment;
 use crate::state::Now;
 use crate::state::TimeLine;
@@ -184,6 +186,7 @@
 
     fn handle(&mut self, input: Input) {
         let now = self.now();
+        witness_clock(&self.shown, now, &input);
         for output in self.node.handle(now, input) {
             self.carry_out(now, output);
         }
@@ -201,7 +204,8 @@
     fn carry_out(&mut self, now: Now, output: Output) {
         let Clients { links, engines, services, platform, runtime, .. } = &self.clients;
         match output {
-            Output::Send { to, message } => {
+            Output::Send { to, mut message } => {
+                stamp_clock(&self.shown, now, &mut message);
                 // A refused send is counted by the links and made good by the core's own timers.
                 let _ = links.send(&to, &message);
             }
@@ -278,6 +282,21 @@
     }
 }
 
+/// Puts the time line's clock into a heartbeat.
+fn stamp_clock(shown: &Shown, now: Now, message: &mut PeerMessage) {
+    if let PeerMessage::Heartbeat(beat) = message {
+        beat.clock = lock(&shown.time_line).tick(now.wall).0;
+    }
+}
+
+/// Takes note of the clock in a peer's heartbeat, so that later events here come after it.
+fn witness_clock(shown: &Shown, now: Now, input: &Input) {
+    let Input::Peer(envelope) = input else { return };
+    if let PeerMessage::Heartbeat(beat) = &envelope.message {
+        lock(&shown.time_line).witness(now.wall, HybridTime(beat.clock));
+    }
+}
+
 /// Locks `mutex`, also after a thread that held it has stopped in the middle.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/lib/src/transport/metrics.rs
+++ b/lib/src/transport/metrics.rs
@@ -21,9 +21,12 @@
 use crate::state::AttemptId;
 use crate::state::EngineLoad;
 use crate::state::Event;
+use crate::state::Outcome;
+use crate::state::Reason;
 use crate::state::Refusal;
 use crate::state::RequestId;
 
+use super::DropCause;
 use super::LinkCounters;
 use super::PeerCounters;
 
@@ -125,6 +128,21 @@
     messages: Family<LinkLabel, Counter>,
 }
 
+/// A count since the start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MetricCount {
+    /// What is counted.
+    pub name: String,
+    /// How often it was.
+    pub count: u64,
+}
+
+impl MetricCount {
+    fn new(name: &str, count: u64) -> Self {
+        MetricCount { name: name.to_owned(), count }
+    }
+}
+
 /// The metrics of one process.
 pub struct Metrics {
     registry: Registry,
@@ -204,6 +222,38 @@
         gauges.record_links(links, shed);
     }
 
+    /// Returns the main counts since the start, for the status page.
+    pub fn counts(&self) -> Vec<MetricCount> {
+        let events = &self.events;
+        let mut counts = vec![
+            MetricCount::new("requests", events.requests.get()),
+            MetricCount::new("completed_requests", events.completed.get()),
+            MetricCount::new("answer_tokens", events.tokens.get()),
+            MetricCount::new("moves", events.moves.get()),
+            MetricCount::new("orphans_cancelled", events.orphans.get()),
+        ];
+        counts.extend(Reason::ALL.iter().filter_map(|reason| self.refused_for(*reason)));
+        counts.extend(DropCause::ALL.iter().filter_map(|cause| self.dropped_for(*cause)));
+        counts
+    }
+
+    /// Returns how often requests ended for `reason`, if any did.
+    fn refused_for(&self, reason: Reason) -> Option<MetricCount> {
+        let outcomes = [Outcome::NotRun, Outcome::Unknown, Outcome::Failed];
+        let labels = outcomes
+            .map(|outcome| RefusalLabel { reason: reason.as_str(), outcome: outcome.as_str() });
+        let counts = labels.iter().filter_map(|label| self.events.refusals.get(label));
+        let count = counts.map(|counter| counter.get()).sum();
+        (count > 0).then(|| MetricCount { name: format!("refused_{reason}"), count })
+    }
+
+    /// Returns how often something was dropped for `cause`, if anything was.
+    fn dropped_for(&self, cause: DropCause) -> Option<MetricCount> {
+        let label = CauseLabel { cause: cause.as_str() };
+        let count = self.snapshot.drops.get(&label).map_or(0, |counter| counter.get());
+        (count > 0).then(|| MetricCount { name: format!("dropped_{}", cause.as_str()), count })
+    }
+
     /// Returns all metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/lib/src/transport/operators.rs
+++ b/lib/src/transport/operators.rs
@@ -14,6 +14,7 @@
 
 use super::core_thread::Shown;
 use super::core_thread::lock;
+use super::metrics::MetricCount;
 use super::page::PAGE;
 use crate::protocol::CounterJson;
 use crate::protocol::StatusJson;
@@ -91,7 +92,11 @@
 
 fn counters(shown: &Shown) -> Vec<CounterJson> {
     let lost = lock(&shown.time_line).lost();
-    vec![CounterJson { name: "events_lost".to_owned(), count: lost }]
+    let counts = shown.metrics.counts().into_iter();
+    let mut counters: Vec<_> =
+        counts.map(|MetricCount { name, count }| CounterJson { name, count }).collect();
+    counters.push(CounterJson { name: "events_lost".to_owned(), count: lost });
+    counters
 }
 
 fn request_id(text: &str) -> Result<RequestId, (Status, String)> {
--- a/lib/src/transport/page/mod.rs
+++ b/lib/src/transport/page/mod.rs
@@ -1,4 +1,15 @@
-//! The page that every entry host serves to operators, in one file without anything from elsewhere.
+//! The page that every entry host serves to operators, in one piece without anything from elsewhere.
 
 /// The page's HTML, with its style and script.
-pub(crate) const PAGE: &str = include_str!("page.html");
+pub(crate) const PAGE: &str = concat!(
+    include_str!("head.html"),
+    "<style>\n",
+    include_str!("page.css"),
+    "</style>\n",
+    include_str!("body.html"),
+    "<script>\n",
+    include_str!("fleet.js"),
+    include_str!("time_line.js"),
+    include_str!("main.js"),
+    "</script>\n</html>\n",
+);
