operators: let the page of one host read another

The page asks the other hosts named after ?hosts=, which a browser allows only if they do. A wildcard was ruled out: any site could then read the fleet's state through an operator's browser. Origins that are an IP number of a private network are allowed.

--- a/cli/tests/test_operators.rs
+++ b/cli/tests/test_operators.rs
@@ -191,6 +191,34 @@
     assert!(foreign.iter().all(|word| !page.contains(word)), "the page fetches from elsewhere");
 }
 
+struct Reader {
+    origin: &'static str,
+    allowed: bool,
+}
+
+/// The page of one host may read another; a site on the internet may not.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_only_pages_of_private_addresses_may_read_another_host() {
+    let fleet = start(1).await;
+    let addr = operators(&fleet.hosts[0]);
+    let client = Client::builder().no_proxy().build().unwrap();
+    for reader in [
+        Reader { origin: "http://127.0.0.1:7003", allowed: true },
+        Reader { origin: "http://10.0.1.5:7003", allowed: true },
+        Reader { origin: "http://192.168.0.9", allowed: true },
+        Reader { origin: "http://203.0.113.9", allowed: false },
+        Reader { origin: "http://10.0.1.5.example.com", allowed: false },
+        Reader { origin: "https://example.com", allowed: false },
+        Reader { origin: "null", allowed: false },
+    ] {
+        let request = client.get(format!("http://{addr}/status")).header("origin", reader.origin);
+        let answer = request.send().await.unwrap();
+        let allowed = answer.headers().get("access-control-allow-origin");
+        let expected = reader.allowed.then_some(reader.origin.as_bytes());
+        assert_eq!(allowed.map(|value| value.as_bytes()), expected, "{}", reader.origin);
+    }
+}
+
 struct Misuse {
     arguments: &'static [&'static str],
     message: &'static str,
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod event_log;
 pub(crate) mod logging;
 pub(crate) mod metrics;
+pub(crate) mod operator_origin;
 pub(crate) mod operators;
 pub(crate) mod page;
 pub(crate) mod peer_links;
--- a/lib/src/transport/operators.rs
+++ b/lib/src/transport/operators.rs
@@ -15,6 +15,8 @@
 use super::core_thread::Shown;
 use super::core_thread::lock;
 use super::metrics::MetricCount;
+use super::operator_origin::AllowedOrigin;
+use super::operator_origin::SharedJson;
 use super::page::PAGE;
 use crate::protocol::CounterJson;
 use crate::protocol::StatusJson;
@@ -33,7 +35,7 @@
 const METRICS_TYPE: (&str, &str) = ("application", "openmetrics-text");
 
 /// A body in JSON, or why there is none.
-type JsonResult = Result<(ContentType, String), (Status, String)>;
+type JsonResult = Result<SharedJson, (Status, String)>;
 
 /// Returns all routes for operators.
 pub(crate) fn routes() -> Vec<Route> {
@@ -46,11 +48,11 @@
 }
 
 #[get("/status")]
-fn status(shown: &State<Arc<Shown>>) -> JsonResult {
+fn status(shown: &State<Arc<Shown>>, origin: AllowedOrigin) -> JsonResult {
     let status = lock(&shown.status).clone();
     let mut json = StatusJson::from(status.as_ref());
     json.counters = counters(shown);
-    to_json(&json)
+    to_json(&json, origin)
 }
 
 /// Answers with the newest events; `after` is in microseconds since the Unix epoch.
@@ -60,23 +62,24 @@
     request: Option<&str>,
     after: Option<u64>,
     limit: Option<usize>,
+    origin: AllowedOrigin,
 ) -> JsonResult {
     let filter = EventFilter {
         request: request.map(request_id).transpose()?,
         after: HybridTime(after.unwrap_or(0)),
         limit: limit.unwrap_or(MAX_EVENTS).clamp(1, MAX_EVENTS),
     };
-    to_json(&TimeLineJson::from(read_page(shown, &filter)))
+    to_json(&TimeLineJson::from(read_page(shown, &filter)), origin)
 }
 
 /// Explains a request from this host's events alone.
 #[get("/why?<request>")]
-fn why(shown: &State<Arc<Shown>>, request: &str) -> JsonResult {
+fn why(shown: &State<Arc<Shown>>, request: &str, origin: AllowedOrigin) -> JsonResult {
     let request = request_id(request)?;
     let filter =
         EventFilter { request: Some(request), limit: MAX_EVENTS, ..EventFilter::default() };
     let told = explain(request, [Testimony::Page(read_page(shown, &filter))]);
-    to_json(&WhyJson::from(told))
+    to_json(&WhyJson::from(told), origin)
 }
 
 #[get("/metrics")]
@@ -103,9 +106,9 @@
     text.parse().map_err(|error| (Status::BadRequest, format!("{error}\n")))
 }
 
-fn to_json(value: &impl serde::Serialize) -> JsonResult {
+fn to_json(value: &impl serde::Serialize, origin: AllowedOrigin) -> JsonResult {
     match serde_json::to_string(value) {
-        Ok(json) => Ok((ContentType::JSON, json)),
+        Ok(body) => Ok(SharedJson { body, origin }),
         Err(error) => Err((Status::InternalServerError, format!("{error}\n"))),
     }
 }
