--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod rules_text;
 pub(crate) mod settings;
 pub(crate) mod spelling;
+pub(crate) mod token;
 pub(crate) mod why;
 
 pub use caller_api::CallerHeaders;
@@ -31,4 +32,5 @@
 pub use rules_text::RuleFault;
 pub use rules_text::parse as parse_rules;
 pub use settings::*;
+pub use token::*;
 pub use why::*;
