--- a/lib/src/protocol/peer_wire/heartbeat.rs
+++ b/lib/src/protocol/peer_wire/heartbeat.rs
@@ -20,6 +20,9 @@
 use super::limits::convert;
 use super::limits::name;
 
+/// The length levels of which a heartbeat tells; another number is another message version.
+const WIRE_LEVELS: usize = 5;
+
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct WireHeartbeat<'a> {
     beat: u64,
@@ -76,6 +79,7 @@
     engine: &'a str,
     short_tokens: u32,
     long_tokens: u32,
+    level_tokens: [u32; WIRE_LEVELS],
     requests: u32,
     held: u32,
     memory: u32,
@@ -92,6 +96,7 @@
             engine: load.engine.as_str(),
             short_tokens: load.short_tokens,
             long_tokens: load.long_tokens,
+            level_tokens: load.level_tokens,
             requests: load.requests,
             held: load.held,
             memory: load.memory,
@@ -113,6 +118,7 @@
             engine: EngineName::new(name(wire.engine)?),
             short_tokens: wire.short_tokens,
             long_tokens: wire.long_tokens,
+            level_tokens: wire.level_tokens,
             requests: wire.requests,
             held: wire.held,
             memory: wire.memory,
--- a/lib/src/transport/page/fleet.js
+++ b/lib/src/transport/page/fleet.js
@@ -86,8 +86,8 @@
   const avoided = target.avoided.length > 0;
   const state = target.listed === "leaving" ? "leaving" : avoided ? "avoided" : "live";
   const card = titled(target.name, state, state === "live" ? "good" : "warn");
-  const dispatcher = target.dispatcher ? `, dispatched by ${target.dispatcher}` : "";
-  card.append(element("p", "faint", `${target.zone}, ${target.addr}${dispatcher}`));
+  card.append(element("p", "faint", `${target.zone}, ${target.addr}`));
+  if (target.dispatcher) card.append(element("p", "faint", `dispatched by ${target.dispatcher}`));
   if (avoided) card.append(element("p", "warn", `gets no new work from ${target.avoided.join(", ")}`));
   if (target.load) card.append(...loadLines(target.load));
   return card;
@@ -99,8 +99,8 @@
   const held = element("i", share > 0.9 ? "full" : "held");
   held.style.width = `${share * 100}%`;
   bar.append(held);
-  const memory = `${tokens(load.held_tokens)} of ${tokens(load.memory_tokens)} tokens held`;
-  const waiting = `waiting: ${tokens(load.short_tokens)} short, ${tokens(load.long_tokens)} long; ${load.requests} requests`;
+  const memory = `${tokens(load.held_tokens)} of ${tokens(load.memory_tokens)} held, ${load.requests} requests`;
+  const waiting = `to read: ${tokens(load.short_tokens)} short, ${tokens(load.long_tokens)} long`;
   const lines = [bar, element("p", "", memory), element("p", "", waiting)];
   if (!load.healthy) lines.push(element("p", "bad", "does not answer"));
   return lines;
--- a/lib/tests/test_peer_wire.rs
+++ b/lib/tests/test_peer_wire.rs
@@ -37,6 +37,7 @@
         engine: engine(),
         short_tokens: 1,
         long_tokens: 2,
+        level_tokens: [1, 0, 2, 0, 3],
         requests: 3,
         held: 4,
         memory: u32::MAX,
--- a/lib/tests/test_wire_memory.rs
+++ b/lib/tests/test_wire_memory.rs
@@ -73,9 +73,9 @@
         name: "engines with as many short models as fit",
         start: &[0, 0, 0, 0, 0, 0, 0, 0x80, 0x40],
         pattern: &[
-            1, b'e', 0, 0, 0, 0, 0, 0, 0, 1, 16, 1, b'm', 1, b'm', 1, b'm', 1, b'm', 1, b'm', 1,
-            b'm', 1, b'm', 1, b'm', 1, b'm', 1, b'm', 1, b'm', 1, b'm', 1, b'm', 1, b'm', 1, b'm',
-            1, b'm',
+            1, b'e', 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 16, 1, b'm', 1, b'm', 1, b'm', 1, b'm',
+            1, b'm', 1, b'm', 1, b'm', 1, b'm', 1, b'm', 1, b'm', 1, b'm', 1, b'm', 1, b'm', 1,
+            b'm', 1, b'm', 1, b'm',
         ],
         repeats: 8192,
         end: &[0, 0, 0],
