--- a/lib/src/protocol/peer_wire/heartbeat.rs
+++ b/lib/src/protocol/peer_wire/heartbeat.rs
@@ -9,7 +9,6 @@
 use crate::coordination::TargetSeen;
 use crate::state::CustomerName;
 use crate::state::EngineName;
-use crate::state::LEVELS;
 use crate::state::ModelName;
 use crate::state::TargetState;
 
@@ -21,6 +20,9 @@
 use super::limits::convert;
 use super::limits::name;
 
+/// The length levels of which a heartbeat tells; another number is another message version.
+const WIRE_LEVELS: usize = 5;
+
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct WireHeartbeat<'a> {
     beat: u64,
@@ -77,7 +79,7 @@
     engine: &'a str,
     short_tokens: u32,
     long_tokens: u32,
-    level_tokens: [u32; LEVELS],
+    level_tokens: [u32; WIRE_LEVELS],
     requests: u32,
     held: u32,
     memory: u32,
