demo: send a mixed load and show what came of it

Cause: the demo started a fleet and sent nothing. Ruled out: a load of its own beside the one of the stand-ins. Change: short requests alone, then all lengths; first token by length, slowdown, refusals with reasons, broken guarantees; non-zero exit if one was broken.

--- a/cli/src/commands/demo/mod.rs
+++ b/cli/src/commands/demo/mod.rs
@@ -1,21 +1,37 @@
 //! `wasabicrank demo`: today's fleet and a mixed load in one process, with no set-up.
 
 mod fleet;
+mod report;
+
+use std::time::Duration;
 
 use argh::FromArgs;
+use wasabicrank_testutils::load::LengthMix;
+use wasabicrank_testutils::load::Load;
+use wasabicrank_testutils::load::LoadConfig;
+use wasabicrank_testutils::load::LoadMix;
+use wasabicrank_testutils::load::LoadReport;
+use wasabicrank_testutils::load::wait_for_calls;
 
 use crate::output::Exit;
 use crate::output::complain;
 use crate::output::print;
 use fleet::DemoFleet;
 
+/// How long the entry hosts may take until homes know that no other process ran new calls.
+const READY_WITHIN: Duration = Duration::from_secs(30);
+
+/// The time between two lines of progress.
+const PROGRESS: Duration = Duration::from_secs(5);
+
 /// Run stand-ins for engines and services and five entry hosts in this process, send a mixed load
-/// of short and very long prompts through them, and show how it went.
+/// of short and very long prompts and some reservations through them, and show how it went.
 #[derive(FromArgs)]
 #[argh(
     subcommand,
     name = "demo",
-    example = "{command_name} --seconds 20",
+    example = "{command_name}",
+    example = "{command_name} --seconds 60 --seed 7",
     error_code(0, "every guarantee held"),
     error_code(1, "a guarantee was broken or the fleet could not start")
 )]
@@ -26,28 +42,73 @@
     /// the seed of the load (default 1)
     #[argh(option, default = "1")]
     seed: u64,
+    /// requests and calls a second (default 40)
+    #[argh(option, default = "40.0")]
+    rate: f64,
 }
 
 impl Demo {
     /// Runs the demo to its end.
     pub(crate) fn run(self) -> Exit {
-        let runtime = match tokio::runtime::Runtime::new() {
-            Ok(runtime) => runtime,
+        let outcome = tokio::runtime::Runtime::new()
+            .map_err(|error| error.to_string())
+            .and_then(|runtime| runtime.block_on(self.demonstrate()));
+        match outcome {
+            Ok(true) => Exit::Success,
+            Ok(false) => Exit::Failure,
             Err(error) => {
-                complain(&format!("the demo cannot start: {error}"));
-                return Exit::Failure;
+                complain(&format!("the demo cannot run: {error}"));
+                Exit::Failure
             }
+        }
+    }
+
+    /// Runs the fleet and the load; tells whether every guarantee held.
+    async fn demonstrate(&self) -> Result<bool, String> {
+        print("Starting 16 engines, 3 service hosts and 5 entry hosts in three zones.\n");
+        let fleet = DemoFleet::start().await?;
+        print(&report::whereabouts(&fleet));
+        let path = format!("{}/seats", fleet::SERVICE_PATH);
+        let ready = wait_for_calls(&fleet.callers(), fleet.token(), &path, READY_WITHIN).await;
+        let Some(ready) = ready else {
+            return Err(format!("calls are still refused after {READY_WITHIN:?}"));
         };
-        let fleet = match runtime.block_on(DemoFleet::start()) {
-            Ok(fleet) => fleet,
-            Err(error) => {
-                complain(&format!("the demo's fleet cannot start: {error}"));
-                return Exit::Failure;
-            }
+        print(&format!("Calls that run once are answered after {:.1} s.\n", ready.as_secs_f64()));
+        let alone = LoadMix { lengths: LengthMix::SHORT, reservations: 0, ..LoadMix::default() };
+        let alone = self.load(&fleet, "short requests alone", alone, self.seconds / 3).await;
+        let mixed = self.load(&fleet, "all lengths", LoadMix::default(), self.seconds).await;
+        let idle = fleet.wait_idle().await;
+        print(&report::summary(&alone, &mixed, &fleet));
+        if !idle {
+            print("Broken: engines still hold memory after the last answer\n");
+        }
+        let broken = alone.broken_count + mixed.broken_count;
+        let held = broken == 0 && idle && fleet.over_memory() == 0;
+        let stop = tokio::task::spawn_blocking(move || fleet.stop());
+        stop.await.map_err(|error| error.to_string())?;
+        print(if held { "Every guarantee held.\n" } else { "A guarantee was broken.\n" });
+        Ok(held)
+    }
+
+    async fn load(&self, fleet: &DemoFleet, name: &str, mix: LoadMix, seconds: u64) -> LoadReport {
+        let config = LoadConfig {
+            seed: self.seed,
+            hosts: fleet.callers(),
+            customers: fleet.customers.clone(),
+            rate: self.rate,
+            span: Duration::from_secs(seconds),
+            mix,
+            service_path: fleet::SERVICE_PATH.to_owned(),
+            engine_runs: Some(fleet.stand_ins.engine_runs.clone()),
+            service_runs: Some(fleet.stand_ins.service_runs.clone()),
+            ..LoadConfig::default()
         };
-        print(&format!("{:?}\n", fleet.hosts));
-        std::thread::sleep(std::time::Duration::from_secs(self.seconds + self.seed * 0));
-        fleet.stop();
-        Exit::Success
+        print(&format!("Sending {} requests a second for {seconds} s: {name}.\n", self.rate));
+        let load = Load::start(config);
+        for _ in 0..seconds / PROGRESS.as_secs() {
+            tokio::time::sleep(PROGRESS).await;
+            print(&report::progress(&load.report(), load.running()));
+        }
+        load.finish().await
     }
 }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,5 +1,7 @@
 //! The command line of wasabicrank: one file for each command under `commands`.
 
+#![warn(clippy::unwrap_used)]
+
 mod commands;
 mod output;
 
--- a/cli/tests/test_whole_path.rs
+++ b/cli/tests/test_whole_path.rs
@@ -1,7 +1,5 @@
 //! The whole path with separate processes: callers, entry hosts, engines and a plain service.
 
-#![allow(clippy::unwrap_used, reason = "a test that cannot set up its fleet has failed")]
-
 use std::time::Duration;
 use std::time::Instant;
 
