--- /dev/null
+++ b/cli/src/commands/demo/fleet.rs
@@ -0,0 +1,97 @@
+//! Today's fleet in one process: the stand-ins, and the entry hosts as threads.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::Value;
+use slog::Discard;
+use slog::Logger;
+use slog::o;
+use wasabicrank_lib::protocol::Settings;
+use wasabicrank_lib::transport::Daemon;
+use wasabicrank_testutils::customers::Customer;
+use wasabicrank_testutils::customers::FleetRules;
+use wasabicrank_testutils::customers::todays_customers;
+use wasabicrank_testutils::fleet::Fleet;
+use wasabicrank_testutils::fleet::FleetConfig;
+
+/// The path of the plain service, below which calls run once.
+pub(crate) const SERVICE_PATH: &str = "/enrolment";
+
+/// How long engines may take to hold nothing after the last answer.
+const IDLE_WITHIN: Duration = Duration::from_secs(10);
+
+/// A running fleet.
+pub(crate) struct DemoFleet {
+    /// The stand-ins and the entry hosts' settings.
+    pub(crate) stand_ins: Fleet,
+    /// The customers that the rules let in.
+    pub(crate) customers: Vec<Customer>,
+    daemons: Vec<Daemon>,
+}
+
+impl DemoFleet {
+    /// Starts the stand-ins on the caller's runtime, and the entry hosts.
+    pub(crate) async fn start() -> Result<DemoFleet, String> {
+        let customers = todays_customers();
+        let rules = FleetRules::default().text(&customers);
+        let config = FleetConfig { rules, ..FleetConfig::default() };
+        let stand_ins = Fleet::start(config).await.map_err(|error| error.to_string())?;
+        let mut daemons = Vec::new();
+        for host in &stand_ins.hosts {
+            daemons.push(start_daemon(&host.settings).await?);
+        }
+        Ok(DemoFleet { stand_ins, customers, daemons })
+    }
+
+    /// Returns where callers connect.
+    pub(crate) fn callers(&self) -> Vec<SocketAddr> {
+        self.addrs("caller_port")
+    }
+
+    /// Returns where operators connect.
+    pub(crate) fn operators(&self) -> Vec<SocketAddr> {
+        self.addrs("operator_port")
+    }
+
+    /// Returns the bearer token of the first customer.
+    pub(crate) fn token(&self) -> &str {
+        self.customers.first().map_or("", |customer| &customer.token)
+    }
+
+    /// Returns how many answers grew past an engine's memory.
+    pub(crate) fn over_memory(&self) -> u64 {
+        self.stand_ins.engines.iter().map(|engine| engine.engine.counts().over_memory).sum()
+    }
+
+    /// Waits until no engine holds anything, and tells whether that came in time.
+    pub(crate) async fn wait_idle(&self) -> bool {
+        self.stand_ins.wait_idle(IDLE_WITHIN).await.is_some()
+    }
+
+    /// Stops the entry hosts in order, as an operator would.
+    pub(crate) fn stop(self) {
+        for daemon in &self.daemons {
+            daemon.stopper().stop();
+        }
+        for daemon in self.daemons {
+            daemon.wait();
+        }
+    }
+
+    fn addrs(&self, port: &str) -> Vec<SocketAddr> {
+        let hosts = self.stand_ins.hosts.iter();
+        let ports = hosts.filter_map(|host| u16::try_from(host.settings[port].as_u64()?).ok());
+        ports.map(|port| SocketAddr::from(([127, 0, 0, 1], port))).collect()
+    }
+}
+
+/// Starts an entry host away from the runtime's threads, since it waits for its servers to listen.
+async fn start_daemon(settings: &Value) -> Result<Daemon, String> {
+    let settings =
+        Settings::parse("demo", &settings.to_string()).map_err(|report| report.to_string())?;
+    let log = Logger::root(Discard, o!());
+    let start = move || Daemon::start(&settings, log);
+    let started = tokio::task::spawn_blocking(start).await.map_err(|error| error.to_string())?;
+    started.map_err(|report| format!("{report:?}"))
+}
--- /dev/null
+++ b/cli/src/commands/mod.rs
@@ -0,0 +1,45 @@
+//! The commands, one module each.
+
+mod check;
+mod demo;
+mod fetch;
+mod hash_token;
+mod serve;
+mod settings;
+mod status;
+mod timeline;
+mod why;
+
+use argh::FromArgs;
+
+use crate::output::Exit;
+
+/// What the user asks for.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Command {
+    Check(check::Check),
+    Demo(demo::Demo),
+    HashToken(hash_token::HashToken),
+    Serve(serve::Serve),
+    Settings(settings::PrintSettings),
+    Status(status::Status),
+    Timeline(timeline::Timeline),
+    Why(why::Why),
+}
+
+impl Command {
+    /// Runs the command to its end.
+    pub(crate) fn run(self) -> Exit {
+        match self {
+            Command::Check(command) => command.run(),
+            Command::Demo(command) => command.run(),
+            Command::HashToken(command) => command.run(),
+            Command::Serve(command) => command.run(),
+            Command::Settings(command) => command.run(),
+            Command::Status(command) => command.run(),
+            Command::Timeline(command) => command.run(),
+            Command::Why(command) => command.run(),
+        }
+    }
+}
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -14,6 +14,7 @@
 mod lease_voter;
 pub(crate) mod members;
 pub(crate) mod message;
+pub(crate) mod node;
 pub(crate) mod rendezvous;
 pub(crate) mod targets;
 
@@ -24,6 +25,7 @@
 pub use lease::shard_of;
 pub use members::*;
 pub use message::*;
+pub use node::*;
 pub use rendezvous::first_ranked;
 pub use rendezvous::rank;
 pub use targets::*;
