limits: share what no host needs and follow demand faster

Cause: with heartbeats spread over their period, hosts took 108 of 100 requests in flight; a customer whose requests move between hosts got half of its limit; hosts with few requests had too small a part to serve one.

Ruled out: averaging demand over one second (0.66 of the limit for requests that move every three seconds, 0.51 over three seconds).

Change: demand is averaged over half a second, what no host needs is spread evenly, and a host takes half of its part of the free slots between two heartbeats.

--- a/lib/src/state/limits.rs
+++ b/lib/src/state/limits.rs
@@ -26,7 +26,7 @@
 pub const REPORT_HOLD: Duration = Duration::from_secs(10);
 
 /// The part of a limit that is spread evenly, so that a host that gets busy can start at once.
-const FLOOR_PART: f64 = 0.1;
+const FLOOR_PART: f64 = 0.15;
 
 /// When a customer at its limit of requests in flight is told to come back.
 const IN_FLIGHT_RETRY: Duration = Duration::from_secs(1);
@@ -131,15 +131,14 @@
         };
         let (limit, slots) = (f64::from(rule.rate), rule.in_flight);
         let fair = self.fair.get(customer).copied().filter(|fair| *fair < limit);
-        let share = self.share(customer);
+        let part = self.part(customer, fair.unwrap_or(limit));
         let may_start = self.may_start(customer, slots);
-        let rate = fair.unwrap_or(limit) * share;
         let local = self.local.entry(customer.clone()).or_insert_with(|| Local::new(now, customer));
         local.demand.add(now, tokens);
         if !may_start {
             return Err(refuse(Reason::InFlightLimit, Some(IN_FLIGHT_RETRY)));
         }
-        local.bucket.set_rate(now, rate);
+        local.bucket.set_rate(now, part);
         if let Err(wait) = local.bucket.take(now, tokens) {
             let reason = if fair.is_some() { Reason::FairShare } else { Reason::RateLimit };
             return Err(refuse(reason, Some(wait)));
@@ -155,20 +154,29 @@
         local.bucket.give_back(now, unused);
     }
 
-    /// Returns this host's share of a customer's rate, from zero to one.
-    fn share(&self, customer: &CustomerName) -> f64 {
+    /// Returns this host's part of a customer's `rate`, in tokens a second.
+    ///
+    /// While the demand is below the rate, each host has what it needs and an even part of the rest,
+    /// so that a host with few requests can serve them; above it, the parts follow the demand.
+    fn part(&self, customer: &CustomerName, rate: f64) -> f64 {
         let hosts = 1.0 + self.peers.len() as f64;
         let own = self.local.get(customer).map_or(0, |local| local.reported.demand);
-        let others = self.peer_uses(customer).map(|item| f64::from(item.demand)).sum::<f64>();
         let own = f64::from(own);
-        let following = if own + others > 0.0 { own / (own + others) } else { 1.0 / hosts };
-        FLOOR_PART / hosts + (1.0 - FLOOR_PART) * following
+        let others = self.peer_uses(customer).map(|item| f64::from(item.demand)).sum::<f64>();
+        let all = own + others;
+        let floor = rate * FLOOR_PART / hosts;
+        let shared = rate * (1.0 - FLOOR_PART);
+        if all <= shared {
+            return floor + own + (shared - all) / hosts;
+        }
+        floor + shared * own / all
     }
 
     /// Tells whether one more request may start.
     ///
-    /// Between two heartbeats a host takes at most its part of the free slots, but at least one, so
-    /// the sum is above the limit by at most one slot for each other host, and only for that long.
+    /// Between two heartbeats a host takes at most half of its part of the free slots, since it does
+    /// not know yet what the others took, but at least one. So the sum is above the limit by at most
+    /// one slot for each other host, and only for that long.
     fn may_start(&self, customer: &CustomerName, slots: u32) -> bool {
         let hosts = 1 + u32::try_from(self.peers.len()).unwrap_or(u32::MAX - 1);
         let others = self.peer_uses(customer).map(|item| item.in_flight).sum::<u32>();
@@ -179,7 +187,7 @@
             return false;
         }
         let free = slots.saturating_sub(reported.saturating_add(others));
-        own < reported.saturating_add((free / hosts).max(1)) || own == 0
+        own < reported.saturating_add((free / hosts / 2).max(1)) || own == 0
     }
 
     fn peer_uses<'a>(
--- a/lib/src/state/limits_bucket.rs
+++ b/lib/src/state/limits_bucket.rs
@@ -8,7 +8,7 @@
 const DEPTH: Duration = Duration::from_millis(500);
 
 /// The time over which demand is averaged.
-const DEMAND_SPAN: Duration = Duration::from_secs(3);
+const DEMAND_SPAN: Duration = Duration::from_millis(500);
 
 /// The shortest wait that a refusal names.
 const WAIT_MIN: Duration = Duration::from_millis(100);
