placement: take prompts up to two and a half times an engine's memory

Cause: the bound was counted from the memory that long prompts may use, so a prompt of 999,000 tokens was refused as too long on engines of 400,000 (a_prompt_over_one_engine_is_split, two and a half engines, failed).

Change: the bound is counted from the whole memory and the prompt alone.

--- a/lib/src/state/orders.rs
+++ b/lib/src/state/orders.rs
@@ -171,8 +171,9 @@
 
     /// Passes `order` if it may be given now; it is given again only after a while.
     ///
-    /// A dispatcher's loads are never above its share of the rate, with one load saved at most, so
-    /// all dispatchers together stay within the rate while they agree on who dispatches for what.
+    /// A dispatcher's loads are never above its share of the rate, with one load saved at most. So
+    /// within any minute all dispatchers together give at most the rate and one load each, while
+    /// they agree on who dispatches for what.
     pub fn pass(&mut self, now: Moment, order: Order, share: OrderShare) -> Option<Order> {
         self.refill(now, share);
         if self.is_pending(now, &order) {
--- a/lib/src/state/placement.rs
+++ b/lib/src/state/placement.rs
@@ -257,9 +257,8 @@
     ) -> PlacementChoice {
         self.reserve.observe(now, query.prompt_tokens);
         let need = query.prompt_tokens.saturating_add(query.output_tokens);
-        let largest =
-            candidates.iter().filter(|c| c.live).map(|c| long_memory(c.memory)).max().unwrap_or(0);
-        if need > largest && largest > 0 {
+        let largest = candidates.iter().filter(|c| c.live).map(|c| c.memory).max().unwrap_or(0);
+        if need > long_memory(largest) && largest > 0 {
             return self.choose_group(now, query, candidates, largest);
         }
         let home = self.home(query, candidates);
--- a/lib/src/state/placement_group.rs
+++ b/lib/src/state/placement_group.rs
@@ -9,7 +9,7 @@
 use super::placement::SegmentPlan;
 use super::prefix::BLOCK_TOKENS;
 
-/// The longest prompt with its answer, in hundredths of the largest engine's memory.
+/// The longest prompt, in hundredths of the largest engine's memory.
 const GROUP_MAX_PERCENT: u64 = 250;
 
 /// The most engines in a group.
@@ -18,14 +18,14 @@
 /// When a caller is told to come back if the memory is taken.
 const FULL_RETRY: Duration = Duration::from_secs(10);
 
-/// Splits a prompt over the fewest of the engines in `free`, the best first, that have room now.
+/// Splits a prompt over the fewest of the engines in `free`, the best first, that have room now; the
+/// largest engine has `memory`.
 pub(crate) fn plan_group(
     query: &PlacementQuery,
     free: &[(&Candidate, u32)],
-    largest: u32,
+    memory: u32,
 ) -> Placement {
-    let need = u64::from(query.prompt_tokens) + u64::from(query.output_tokens);
-    if need * 100 > u64::from(largest) * GROUP_MAX_PERCENT {
+    if u64::from(query.prompt_tokens) * 100 > u64::from(memory) * GROUP_MAX_PERCENT {
         return Placement::Refuse { reason: Reason::PromptTooLong, retry_after: None };
     }
     if free.is_empty() {
