--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here reads a clock, opens a socket or knows of the layers above.
 
+pub(crate) mod answer;
 pub(crate) mod ask;
 pub(crate) mod engine_queue;
 pub(crate) mod engine_queue_order;
@@ -13,6 +14,7 @@
 pub(crate) mod engine_queue_waiting;
 pub(crate) mod event;
 pub(crate) mod fleet;
+pub(crate) mod hybrid_clock;
 pub(crate) mod limits;
 pub(crate) mod limits_bucket;
 pub(crate) mod long_group;
@@ -30,7 +32,10 @@
 pub(crate) mod retry_budget;
 pub(crate) mod rules;
 pub(crate) mod time;
+pub(crate) mod time_line;
+pub(crate) mod tuning;
 
+pub use answer::*;
 pub use ask::*;
 pub use engine_queue::*;
 pub use engine_queue_order::LEVELS;
@@ -45,6 +50,7 @@
 pub use engine_queue_verdict::Verdict;
 pub use event::*;
 pub use fleet::*;
+pub use hybrid_clock::*;
 pub use limits::*;
 pub use long_group::*;
 pub use memory::*;
@@ -57,3 +63,5 @@
 pub use retry_budget::*;
 pub use rules::*;
 pub use time::*;
+pub use time_line::*;
+pub use tuning::*;
--- a/lib/src/state/outcome.rs
+++ b/lib/src/state/outcome.rs
@@ -63,6 +63,8 @@
     HomeUnavailable,
     /// The key is older than what its home can know.
     KeyTooOld,
+    /// The key was made later than this entry host's clock can allow.
+    KeyFromFuture,
     /// A copy of the call with this key is running.
     CopyRunning,
     /// The key was used before with another body.
@@ -74,6 +76,30 @@
 }
 
 impl Reason {
+    /// All reasons.
+    pub const ALL: [Reason; 20] = [
+        Reason::RateLimit,
+        Reason::InFlightLimit,
+        Reason::FairShare,
+        Reason::DeadlineTooShort,
+        Reason::DeadlinePassed,
+        Reason::NoConfiguration,
+        Reason::NoTarget,
+        Reason::PromptTooLong,
+        Reason::MemoryFull,
+        Reason::Overloaded,
+        Reason::Stopping,
+        Reason::TargetFailed,
+        Reason::RetryBudget,
+        Reason::HomeUnavailable,
+        Reason::KeyTooOld,
+        Reason::KeyFromFuture,
+        Reason::CopyRunning,
+        Reason::KeyReused,
+        Reason::CallerGone,
+        Reason::ResumeUnknown,
+    ];
+
     /// Returns the label that metrics and JSON use.
     ///
     /// ```
@@ -97,6 +123,7 @@
             Reason::RetryBudget => "retry_budget",
             Reason::HomeUnavailable => "home_unavailable",
             Reason::KeyTooOld => "key_too_old",
+            Reason::KeyFromFuture => "key_from_future",
             Reason::CopyRunning => "copy_running",
             Reason::KeyReused => "key_reused",
             Reason::CallerGone => "caller_gone",
@@ -122,6 +149,7 @@
             Reason::RetryBudget => "The servers are failing too often to try again.",
             Reason::HomeUnavailable => "It cannot be known now whether this call has run.",
             Reason::KeyTooOld => "The call is too old to know whether it has run.",
+            Reason::KeyFromFuture => "The call's key was made in the future; check the clock.",
             Reason::CopyRunning => "A copy of this call is still running.",
             Reason::KeyReused => "The idempotency key was used for another call.",
             Reason::CallerGone => "The caller closed the connection.",
