peer links: fill the ring by messages and by bytes in the frozen-peer test

Taking the non-blocking send or the bound in bytes out left the test green, because the bound in bytes always came first. The test now runs with many short and with few long messages, asks for a bound on what is taken, and goes on until the link is given up.

--- a/lib/tests/test_peer_links.rs
+++ b/lib/tests/test_peer_links.rs
@@ -15,6 +15,7 @@
 use slog::Discard;
 use slog::Logger;
 use slog::o;
+use test_case::test_case;
 use wasabicrank_lib::coordination::*;
 use wasabicrank_lib::protocol::Sender;
 use wasabicrank_lib::protocol::*;
@@ -23,7 +24,7 @@
 
 const PATIENCE: Duration = Duration::from_secs(20);
 const MAX_FRAME: usize = 256 * 1024;
-const RING: usize = 32;
+const RING: usize = 1024;
 const KEY: [u8; 32] = [7; 32];
 const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
@@ -353,31 +354,42 @@
     streams
 }
 
-#[test]
-fn frozen_reader_blocks_neither_sender_nor_control() {
+/// The longest that one send may take.
+const LONGEST_SEND: Duration = Duration::from_millis(500);
+/// The most bytes that may be taken for a frozen peer: four frames in the ring, the rest in the
+/// sockets' buffers. A ring that is bounded in messages alone would take 200 MB.
+const MAX_TAKEN: usize = 64 * 1024 * 1024;
+
+#[test_case(100; "many short messages fill the ring")]
+#[test_case(200_000; "few long messages fill the ring")]
+fn frozen_reader_blocks_neither_sender_nor_control(len: usize) {
     let a = Host::start("entry-1", KEY);
     let listener = TcpListener::bind(LOOPBACK).unwrap();
     let frozen = PeerAddr { host: HostName::new("entry-2"), addr: listener.local_addr().unwrap() };
     let name = frozen.host.clone();
-    a.links.set_peers(&[frozen]).expect("threads can be started");
+    a.links.set_peers(&[frozen]).unwrap();
     let mut streams = frozen_work_peer(&listener);
     wait_until("a is connected", || a.links.is_connected(&name));
 
+    let message = call(len);
     let mut slowest = Duration::ZERO;
-    let mut refused = 0;
-    while refused < 100 {
-        let began = Instant::now();
-        refused += u32::from(a.links.send(&name, &call(200_000)).is_err());
-        slowest = slowest.max(began.elapsed());
-    }
-    assert!(slowest < Duration::from_millis(500), "a send took {slowest:?}");
+    let mut taken = 0;
+    wait_until("the frozen link is given up", || {
+        for _ in 0..1000 {
+            let began = Instant::now();
+            taken += if a.links.send(&name, &message).is_ok() { len } else { 0 };
+            slowest = slowest.max(began.elapsed());
+        }
+        a.dropped(DropCause::ConnectionLost) > 0
+    });
+    assert!(slowest < LONGEST_SEND, "a send took {slowest:?}");
+    assert!(taken < MAX_TAKEN, "{taken} bytes were taken");
     assert!(a.dropped(DropCause::RingFull) > 0);
 
     a.links.send(&name, &pull(1)).unwrap();
     let mut prefix = [0; LENGTH_BYTES];
     streams[0].set_read_timeout(Some(PATIENCE)).unwrap();
     streams[0].read_exact(&mut prefix).unwrap();
-    wait_until("the frozen link is given up", || a.dropped(DropCause::ConnectionLost) > 0);
     let began = Instant::now();
     a.links.stop();
     assert!(began.elapsed() < Duration::from_secs(6), "stop took {:?}", began.elapsed());
