config_spread: let deltas have lines without their ends

Cause: edits carried each line with its end, and the wire form joined and split lines at the same character, so that a peer counted one line too many and dropped every delta as malformed. Hosts that read the service themselves did not show it. Ruled out: a length before each line on the wire, which costs bytes for nothing. Change: the core's edits are lines without ends.

--- a/lib/src/coordination/config_spread_delta.rs
+++ b/lib/src/coordination/config_spread_delta.rs
@@ -28,8 +28,8 @@
 /// assert_eq!(apply_edits(old, &edits).as_deref(), Some(new));
 /// ```
 pub fn line_edits(old: &str, new: &str) -> Option<Vec<LineEdit>> {
-    let old: Vec<_> = old.split_inclusive('\n').collect();
-    let new: Vec<_> = new.split_inclusive('\n').collect();
+    let old: Vec<_> = old.split('\n').collect();
+    let new: Vec<_> = new.split('\n').collect();
     let start = old.iter().zip(&new).take_while(|(a, b)| a == b).count();
     let (old_rest, new_rest) = (&old[start..], &new[start..]);
     let end = old_rest.iter().rev().zip(new_rest.iter().rev()).take_while(|(a, b)| a == b).count();
@@ -41,18 +41,17 @@
 
 /// Makes the new text, or `None` if the edits do not fit the old one.
 pub fn apply_edits(old: &str, edits: &[LineEdit]) -> Option<String> {
-    let lines: Vec<_> = old.split_inclusive('\n').collect();
-    let mut text = String::new();
+    let lines: Vec<_> = old.split('\n').collect();
+    let mut text = Vec::new();
     let mut next = 0;
     for edit in edits {
         let at = usize::try_from(edit.at).ok()?;
-        let kept = lines.get(next..at)?;
-        text.extend(kept.iter().copied());
+        text.extend_from_slice(lines.get(next..at)?);
         text.extend(edit.insert.iter().map(String::as_str));
         next = at.checked_add(usize::try_from(edit.remove).ok()?)?;
     }
-    text.extend(lines.get(next..)?.iter().copied());
-    Some(text)
+    text.extend_from_slice(lines.get(next..)?);
+    Some(text.join("\n"))
 }
 
 /// One step from the old lines to the new ones.
