--- a/cli/tests/test_load_on_fleet.rs
+++ b/cli/tests/test_load_on_fleet.rs
@@ -3,45 +3,85 @@
 use std::time::Duration;
 
 use serde_json::json;
+use test_case::test_case;
+use wasabicrank_testutils::customers::Customer;
 use wasabicrank_testutils::customers::FleetRules;
 use wasabicrank_testutils::customers::todays_customers;
 use wasabicrank_testutils::engine::EngineConfig;
 use wasabicrank_testutils::fleet::Fleet;
 use wasabicrank_testutils::fleet::FleetConfig;
+use wasabicrank_testutils::load::Broken;
 use wasabicrank_testutils::load::Load;
 use wasabicrank_testutils::load::LoadConfig;
 use wasabicrank_testutils::load::wait_for_calls;
+use wasabicrank_testutils::stream_faults::StreamFaults;
 
 /// How long a new fleet may refuse calls that may run once.
 const READY_WITHIN: Duration = Duration::from_secs(30);
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn test_load_is_answered_whole() {
-    let customers = todays_customers();
+/// Starts three entry hosts before sixteen engines and waits until they take calls.
+async fn start_fleet(customers: &[Customer]) -> Fleet {
     let config = FleetConfig {
         binary: Some(env!("CARGO_BIN_EXE_wasabicrank").into()),
         entry_hosts: 3,
         engine: EngineConfig { speed: 20.0, ..EngineConfig::default() },
-        rules: FleetRules::default().text(&customers),
+        rules: FleetRules::default().text(customers),
         settings: json!({ "log_level": "warning" }),
         ..FleetConfig::default()
     };
     let fleet = Fleet::start(config).await.expect("the fleet starts");
-    let hosts = fleet.callers();
-    let ready = wait_for_calls(&hosts, &customers[0].token, "/enrolment/seats", READY_WITHIN).await;
+    let token = &customers[0].token;
+    let ready = wait_for_calls(&fleet.callers(), token, "/enrolment/seats", READY_WITHIN).await;
     assert!(ready.is_some(), "calls are still refused");
-    let load = LoadConfig {
-        hosts,
+    fleet
+}
+
+fn load_on(fleet: &Fleet, customers: Vec<Customer>) -> LoadConfig {
+    LoadConfig {
+        hosts: fleet.callers(),
         customers,
         rate: 20.0,
         span: Duration::from_secs(5),
         engine_runs: Some(fleet.engine_runs.clone()),
         service_runs: Some(fleet.service_runs.clone()),
         ..LoadConfig::default()
+    }
+}
+
+struct FaultCase {
+    faults: StreamFaults,
+    right: bool,
+}
+
+#[test_case(FaultCase { faults: StreamFaults::default(), right: true }; "no faults")]
+#[test_case(
+    FaultCase {
+        faults: StreamFaults {
+            duplicate_every: 3,
+            late_every: 5,
+            crossed_every: 7,
+            ..StreamFaults::default()
+        },
+        right: true,
+    };
+    "pieces that come twice, late and crossed"
+)]
+#[test_case(
+    FaultCase {
+        faults: StreamFaults { corrupt_every: 10, ..StreamFaults::default() },
+        right: false,
     };
-    println!("calls are answered after {ready:?}");
-    let report = Load::start(load).finish().await;
-    assert_eq!(report.broken, []);
+    "wrong text, which only the load can see"
+)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_load_is_answered_whole(case: FaultCase) {
+    let customers = todays_customers();
+    let fleet = start_fleet(&customers).await;
+    fleet.engines.iter().for_each(|engine| engine.engine.set_stream_faults(case.faults));
+    let report = Load::start(load_on(&fleet, customers)).finish().await;
     assert_eq!(report.answered(), report.sent(), "refused: {:?}", report.refusals);
+    assert_eq!(report.broken.is_empty(), case.right, "broken: {:?}", report.broken);
+    let wrong = |broken: &Broken| matches!(broken, Broken::WrongAnswer { .. });
+    assert!(report.broken.iter().all(wrong), "broken: {:?}", report.broken);
     assert!(fleet.wait_idle(Duration::from_secs(10)).await.is_some(), "memory is still held");
 }
--- a/lib/testutils/src/stream_faults.rs
+++ b/lib/testutils/src/stream_faults.rs
@@ -15,6 +15,8 @@
     pub crossed_every: u32,
     /// Each piece of this number is left out.
     pub gap_every: u32,
+    /// Each piece of this number has another answer's text, which no reader can tell.
+    pub corrupt_every: u32,
     /// The stream ends without its closing events after this many pieces.
     pub cut_after: Option<u32>,
     /// The stream stays open but says nothing more after this many pieces.
@@ -68,7 +70,8 @@
         let first = *self.first.get_or_insert(offset);
         let count = self.pieces;
         if !is_nth(count, faults.gap_every) {
-            self.write(out, self.attempt, offset, tokens, self.hash);
+            let hash = if is_nth(count, faults.corrupt_every) { !self.hash } else { self.hash };
+            self.write(out, self.attempt, offset, tokens, hash);
         }
         if is_nth(count, faults.duplicate_every) {
             self.write(out, self.attempt, offset, tokens, self.hash);
