testutils: try the fleet's faults once

A process that ended by itself may have written lines that were not read yet, so its readers are now joined before the error repeats its log.

--- a/cli/tests/test_load_on_fleet.rs
+++ b/cli/tests/test_load_on_fleet.rs
@@ -1,5 +1,6 @@
 //! A load on a fleet of entry hosts as processes: whole answers, and calls that run once.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde_json::json;
@@ -20,13 +21,14 @@
 const READY_WITHIN: Duration = Duration::from_secs(30);
 
 /// Starts three entry hosts before sixteen engines and waits until they take calls.
-async fn start_fleet(customers: &[Customer]) -> Fleet {
+async fn start_fleet(customers: &[Customer], links: bool) -> Fleet {
     let config = FleetConfig {
         binary: Some(env!("CARGO_BIN_EXE_wasabicrank").into()),
         entry_hosts: 3,
         engine: EngineConfig { speed: 20.0, ..EngineConfig::default() },
         rules: FleetRules::default().text(customers),
         settings: json!({ "log_level": "warning" }),
+        links,
         ..FleetConfig::default()
     };
     let fleet = Fleet::start(config).await.expect("the fleet starts");
@@ -76,7 +78,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn test_load_is_answered_whole(case: FaultCase) {
     let customers = todays_customers();
-    let fleet = start_fleet(&customers).await;
+    let fleet = start_fleet(&customers, false).await;
     fleet.engines.iter().for_each(|engine| engine.engine.set_stream_faults(case.faults));
     let report = Load::start(load_on(&fleet, customers)).finish().await;
     assert_eq!(report.answered(), report.sent(), "refused: {:?}", report.refusals);
@@ -85,3 +87,38 @@
     assert!(report.broken.iter().all(wrong), "broken: {:?}", report.broken);
     assert!(fleet.wait_idle(Duration::from_secs(10)).await.is_some(), "memory is still held");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_killed_entry_host_loses_no_answer() {
+    let customers = todays_customers();
+    let mut fleet = start_fleet(&customers, false).await;
+    let load = Load::start(load_on(&fleet, customers));
+    while load.report().answered() < 20 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    fleet.kill_host(1);
+    let report = load.finish().await;
+    assert_eq!(report.broken, []);
+    assert!(report.came_back > 0, "no caller met the killed entry host");
+    assert_eq!(report.lost(), 0, "refused: {:?}", report.refusals);
+    fleet.start_host(1).await.expect("the entry host starts again");
+    assert!(fleet.wait_idle(Duration::from_secs(30)).await.is_some(), "memory is still held");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_partition_refuses_calls_on_the_smaller_side_until_it_heals() {
+    let customers = todays_customers();
+    let fleet = start_fleet(&customers, true).await;
+    let token = &customers[0].token;
+    let hosts = fleet.callers();
+    let calls = |side: &[SocketAddr], limit| {
+        let side = side.to_vec();
+        async move { wait_for_calls(&side, token, "/enrolment/seats", limit).await }
+    };
+    fleet.partition(&[&[0, 1], &[2]]);
+    assert!(calls(&hosts[..2], READY_WITHIN).await.is_some(), "the larger side takes no calls");
+    assert!(calls(&hosts[2..], Duration::from_secs(3)).await.is_none(), "the smaller side does");
+    fleet.heal_links();
+    assert!(calls(&hosts[2..], READY_WITHIN).await.is_some(), "calls are still refused");
+    assert_eq!(fleet.service_runs.by_key.repeated(), []);
+}
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -23,6 +23,7 @@
 use crate::process::Process;
 use crate::process::ProcessError;
 use crate::process::Signal;
+use crate::process::caller_addr;
 use crate::records::RunRecord;
 use crate::relay::Relay;
 use crate::service::Service;
@@ -117,6 +118,13 @@
     links: Vec<Option<Relay>>,
 }
 
+impl FleetHost {
+    /// Returns where callers connect, whether or not there is a process.
+    pub fn callers(&self) -> io::Result<SocketAddr> {
+        caller_addr(&self.settings)
+    }
+}
+
 /// A running fleet; all of it ends when it is dropped.
 #[derive(Debug)]
 pub struct Fleet {
--- a/lib/testutils/src/process.rs
+++ b/lib/testutils/src/process.rs
@@ -18,6 +18,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use serde_json::Value;
@@ -99,6 +100,7 @@
     callers: SocketAddr,
     settings: PathBuf,
     log: Arc<Mutex<Vec<String>>>,
+    readers: Mutex<Vec<JoinHandle<()>>>,
 }
 
 impl Process {
@@ -116,14 +118,16 @@
             .stderr(Stdio::piped())
             .spawn()?;
         let log = Arc::default();
+        let mut readers = Vec::new();
         if let Some(output) = child.stdout.take() {
-            keep_lines(output, Arc::clone(&log));
+            readers.push(keep_lines(output, Arc::clone(&log)));
         }
         if let Some(output) = child.stderr.take() {
-            keep_lines(output, Arc::clone(&log));
+            readers.push(keep_lines(output, Arc::clone(&log)));
         }
+        let readers = Mutex::new(readers);
         let id = child.id();
-        Ok(Process { child: Mutex::new(child), id, callers, settings: file, log })
+        Ok(Process { child: Mutex::new(child), id, callers, settings: file, log, readers })
     }
 
     /// Returns its process identifier.
@@ -143,6 +147,7 @@
         let end = Instant::now() + limit;
         while Instant::now() < end {
             if let Some(status) = self.exit_status() {
+                self.read_to_end();
                 return Err(ProcessError::Ended(status, self.last_lines()));
             }
             let answer = client.get(&url).timeout(HEALTH_TIMEOUT).send().await;
@@ -189,6 +194,14 @@
         lock(&self.log).clone()
     }
 
+    /// Waits until all that an ended process wrote has been read.
+    fn read_to_end(&self) {
+        for reader in lock(&self.readers).drain(..) {
+            // A reader that panicked leaves lines out, which a test that wants them will show.
+            let _ = reader.join();
+        }
+    }
+
     fn last_lines(&self) -> Vec<String> {
         let log = lock(&self.log);
         log[log.len().saturating_sub(TOLD_LINES)..].to_vec()
@@ -204,8 +217,8 @@
     }
 }
 
-/// Reads where callers connect from a process's settings.
-fn caller_addr(settings: &Value) -> io::Result<SocketAddr> {
+/// Reads where callers connect from an entry host's settings.
+pub fn caller_addr(settings: &Value) -> io::Result<SocketAddr> {
     let ip = settings["ip"].as_str().and_then(|ip| ip.parse().ok());
     let port = settings["caller_port"].as_u64().and_then(|port| u16::try_from(port).ok());
     let addr = ip.zip(port).map(|(ip, port)| SocketAddr::new(ip, port));
@@ -220,10 +233,10 @@
 }
 
 /// Keeps the lines of `output` until it ends.
-fn keep_lines(output: impl Read + Send + 'static, log: Arc<Mutex<Vec<String>>>) {
+fn keep_lines(output: impl Read + Send + 'static, log: Arc<Mutex<Vec<String>>>) -> JoinHandle<()> {
     thread::spawn(move || {
         for line in BufReader::new(output).lines().map_while(Result::ok) {
             lock(&log).push(line);
         }
-    });
+    })
 }
