testutils: make the load's prompts away from the threads that send

A prompt of a million tokens took the sending threads' time three times: for its text, its JSON and the answer to compare with. All are now made once, before the request's clock starts, on a blocking thread.

--- a/lib/testutils/src/load/completion.rs
+++ b/lib/testutils/src/load/completion.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use reqwest::Client;
 use reqwest::Response;
 use serde_json::Value;
@@ -68,6 +69,46 @@
     pub took: Duration,
 }
 
+/// A request that is ready to be sent, with the answer that belongs to it.
+#[derive(Debug, Clone)]
+struct Prepared {
+    body: Bytes,
+    expected: String,
+}
+
+impl CompletionAsk {
+    /// Makes the request's body and the answer that belongs to it, away from the threads that send
+    /// and read.
+    async fn prepare(&self) -> Prepared {
+        let ask = self.clone();
+        let made = tokio::task::spawn_blocking(move || {
+            let prompt = ask.prompt.text();
+            let expected = expected_answer(&prompt, ask.answer_tokens);
+            Prepared { body: ask.body(&prompt, None), expected }
+        });
+        made.await.expect("making a request does not fail")
+    }
+
+    fn body(&self, prompt: &str, resume: Option<&Resume<'_>>) -> Bytes {
+        let mut body = json!({
+            "model": self.model,
+            "prompt": prompt,
+            "max_tokens": self.answer_tokens,
+            "stream": true,
+        });
+        if let Some(Resume { token, text }) = resume {
+            body["resume"] = json!({ "token": token, "text": text });
+        }
+        Bytes::from(body.to_string())
+    }
+}
+
+/// What a caller has of an answer that broke off.
+struct Resume<'a> {
+    token: &'a str,
+    text: &'a str,
+}
+
 /// How one connection ended.
 enum Leg {
     Ended(CompletionEnd),
@@ -92,12 +133,13 @@
     first: usize,
     ask: &CompletionAsk,
 ) -> CompletionStory {
+    let prepared = ask.prepare().await;
     let mut progress = Progress::new();
     let last_moment = progress.start + ask.deadline + DEADLINE_GRACE;
     let mut tried = 0;
     let end = loop {
         let host = hosts[(first + tried) % hosts.len()];
-        match timeout_at(last_moment, progress.run_leg(client, host, ask)).await {
+        match timeout_at(last_moment, progress.run_leg(client, host, ask, &prepared)).await {
             Err(_) => break CompletionEnd::Silent,
             Ok(Leg::Ended(end)) => break end,
             Ok(Leg::Broke) => {}
@@ -130,16 +172,25 @@
     }
 
     /// Sends the request over one connection and reads its answer.
-    async fn run_leg(&mut self, client: &Client, host: SocketAddr, ask: &CompletionAsk) -> Leg {
+    async fn run_leg(
+        &mut self,
+        client: &Client,
+        host: SocketAddr,
+        ask: &CompletionAsk,
+        prepared: &Prepared,
+    ) -> Leg {
         let left = ask.deadline.saturating_sub(self.start.elapsed());
         let request = client
             .post(format!("http://{host}/v1/completions"))
             .bearer_auth(&ask.token)
             .header("x-deadline-ms", left.as_millis().max(1).to_string())
-            .json(&self.body(ask));
+            .header("content-type", "application/json")
+            .body(self.body(ask, prepared));
         match request.send().await {
             Err(_) => Leg::Broke,
-            Ok(response) if response.status().is_success() => self.read_events(response, ask).await,
+            Ok(response) if response.status().is_success() => {
+                self.read_events(response, prepared).await
+            }
             Ok(response) => match response.json::<Value>().await {
                 Ok(refusal) => Leg::Ended(self.refused(&refusal)),
                 Err(_) => Leg::Broke,
@@ -147,20 +198,18 @@
         }
     }
 
-    fn body(&self, ask: &CompletionAsk) -> Value {
-        let mut body = json!({
-            "model": ask.model,
-            "prompt": ask.prompt.text(),
-            "max_tokens": ask.answer_tokens,
-            "stream": true,
-        });
-        if let Some(token) = &self.resume {
-            body["resume"] = json!({ "token": token, "text": self.text });
+    /// Returns the body, which asks for the rest if a part of the answer is here.
+    fn body(&self, ask: &CompletionAsk, prepared: &Prepared) -> Bytes {
+        match &self.resume {
+            None => prepared.body.clone(),
+            Some(token) => {
+                let resume = Resume { token, text: &self.text };
+                ask.body(&ask.prompt.text(), Some(&resume))
+            }
         }
-        body
     }
 
-    async fn read_events(&mut self, mut response: Response, ask: &CompletionAsk) -> Leg {
+    async fn read_events(&mut self, mut response: Response, prepared: &Prepared) -> Leg {
         let mut buffer = Vec::new();
         while let Ok(Some(bytes)) = response.chunk().await {
             buffer.extend_from_slice(&bytes);
@@ -168,7 +217,7 @@
             let lines: Vec<u8> = buffer.drain(..=end).collect();
             let lines = String::from_utf8_lossy(&lines);
             for line in lines.lines() {
-                if let Some(leg) = self.read_line(line, ask) {
+                if let Some(leg) = self.read_line(line, prepared) {
                     return leg;
                 }
             }
@@ -177,13 +226,13 @@
     }
 
     /// Reads one line of an event; returns the end if it is one.
-    fn read_line(&mut self, line: &str, ask: &CompletionAsk) -> Option<Leg> {
+    fn read_line(&mut self, line: &str, prepared: &Prepared) -> Option<Leg> {
         if let Some(id) = line.strip_prefix("id: ") {
             self.resume = Some(id.to_owned());
         }
         let data = line.strip_prefix("data: ")?;
         if data == "[DONE]" {
-            let right = self.text == expected_answer(&ask.prompt.text(), ask.answer_tokens);
+            let right = self.text == prepared.expected;
             return Some(Leg::Ended(CompletionEnd::Answered { right }));
         }
         let event: Value = serde_json::from_str(data).unwrap_or_default();
--- a/lib/testutils/src/text.rs
+++ b/lib/testutils/src/text.rs
@@ -63,8 +63,11 @@
 
 /// Returns the text of the `count` answer tokens from `offset` on.
 pub fn answer_text(hash: u64, offset: u32, count: u32) -> String {
-    let tokens = (offset..offset.saturating_add(count)).map(|index| answer_token(hash, index));
-    tokens.flatten().map(char::from).collect()
+    let mut text = Vec::with_capacity(count as usize * TOKEN_BYTES);
+    for index in offset..offset.saturating_add(count) {
+        text.extend_from_slice(&answer_token(hash, index));
+    }
+    String::from_utf8(text).expect("tokens are ASCII")
 }
 
 /// Returns the first `tokens` answer tokens that every engine gives to `prompt`.
