--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod hash_token;
 mod serve;
 mod settings;
+mod stand_ins;
 mod status;
 mod timeline;
 mod why;
@@ -23,6 +24,7 @@
     HashToken(hash_token::HashToken),
     Serve(serve::Serve),
     Settings(settings::PrintSettings),
+    StandIns(stand_ins::StandIns),
     Status(status::Status),
     Timeline(timeline::Timeline),
     Why(why::Why),
@@ -37,6 +39,7 @@
             Command::HashToken(command) => command.run(),
             Command::Serve(command) => command.run(),
             Command::Settings(command) => command.run(),
+            Command::StandIns(command) => command.run(),
             Command::Status(command) => command.run(),
             Command::Timeline(command) => command.run(),
             Command::Why(command) => command.run(),
