--- a/cli/tests/test_check.rs
+++ b/cli/tests/test_check.rs
@@ -179,6 +179,50 @@
     std::fs::remove_dir_all(&folder).unwrap();
 }
 
+/// A change to good settings, and the line that `serve` ends with.
+struct BadSettings {
+    from: &'static str,
+    to: &'static str,
+    line: &'static str,
+}
+
+#[test_case("unknown", BadSettings {
+    from: "\"zone\"",
+    to: "\"zoen\"",
+    line: "bad.json:4:3: zoen: found an unknown field, expected perhaps `zone`\n",
+}; "unknown field")]
+#[test_case("type", BadSettings {
+    from: "7102",
+    to: "\"7102\"",
+    line: "bad.json:7:3: operator_port: found \"7102\", expected a whole number from 1 to 65535\n",
+}; "wrong type")]
+#[test_case("zone", BadSettings {
+    from: "\"zone\": \"zone-a\",",
+    to: "",
+    line: "bad.json: zone: found nothing, \
+           expected a name of 1 to 64 letters, digits, `-`, `_` or `.`\n",
+}; "missing zone")]
+#[test_case("ip", BadSettings {
+    from: "\"10.20.1.11\"",
+    to: "\"10.20.1\"",
+    line: "bad.json:5:3: ip: found \"10.20.1\", \
+           expected the IP number of one host, such as \"10.0.1.5\"\n",
+}; "bad ip")]
+fn test_bad_settings_end_serve(name: &str, case: BadSettings) {
+    let good = std::fs::read_to_string(examples().join("settings-cotisa.json"));
+    let good = good.expect("the example is there");
+    assert!(good.contains(case.from));
+    let folder = temp_folder(name);
+    let bad = good.replacen(case.from, case.to, 1);
+    std::fs::write(folder.join("bad.json"), bad).expect("settings are written");
+    let serve = ["serve", "--settings", "bad.json"];
+    let output = Command::new(BINARY).args(serve).current_dir(&folder).output();
+    let output = output.expect("the binary runs");
+    assert_eq!(String::from_utf8_lossy(&output.stderr), case.line);
+    assert_eq!((output.status.code(), output.stdout.len()), (Some(2), 0));
+    std::fs::remove_dir_all(&folder).expect("the folder can go");
+}
+
 /// `settings --json` starts a file that lacks only a key.
 #[test]
 fn test_printed_settings_are_taken() {
