metrics: measure the slowdown against an idle engine's prefill

In a run of the demo every slowdown was 1.0, since it left out the wait that the dispatcher tells and engines queue by themselves. It is now the time to the first token over the prompt's length at the observed prefill rate. Keeping the fastest time seen for each length was ruled out: one cached prefix would spoil it.

--- a/lib/src/transport/metrics.rs
+++ b/lib/src/transport/metrics.rs
@@ -18,8 +18,8 @@
 use prometheus_client::registry::Unit;
 
 use crate::coordination::NodeStatus;
-use crate::state::AttemptId;
 use crate::state::EngineLoad;
+use crate::state::EngineName;
 use crate::state::Event;
 use crate::state::Outcome;
 use crate::state::Reason;
@@ -46,7 +46,9 @@
     [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.7, 2.5, 5.0, 10.0, 30.0, 60.0, 120.0];
 /// The upper bounds of the slowdown.
 const SLOWDOWN_BOUNDS: [f64; 9] = [1.05, 1.1, 1.2, 1.3, 1.5, 2.0, 3.0, 5.0, 10.0];
-/// How many open requests are followed for their length and their wait.
+/// The shortest time that an idle engine is taken to need for a first token.
+const MIN_ALONE: Duration = Duration::from_millis(10);
+/// How many open requests are followed for their length.
 const MAX_OPEN: usize = 65_536;
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -89,11 +91,20 @@
 
 type BoundedHistogram = Family<LengthLabel, Histogram, fn() -> Histogram>;
 
-/// What is remembered of a request until it ends.
-#[derive(Debug, Clone, Copy, Default)]
-struct OpenRequest {
-    prompt_tokens: u32,
-    queued: Duration,
+/// The prefill rates of engines, in tokens a second, from the newest snapshot.
+#[derive(Debug, Default)]
+struct PrefillRates {
+    engines: HashMap<EngineName, u32>,
+}
+
+impl PrefillRates {
+    /// Returns the rate of `engine`, or the mean of those known if another host dispatches to it.
+    fn of(&self, engine: &EngineName) -> Option<f64> {
+        let own = self.engines.get(engine).copied().map(f64::from);
+        let sum: f64 = self.engines.values().copied().map(f64::from).sum();
+        let mean = || sum / self.engines.len() as f64;
+        own.or_else(|| (!self.engines.is_empty()).then(mean))
+    }
 }
 
 /// Counters and histograms that events feed.
@@ -148,7 +159,9 @@
     registry: Registry,
     events: EventMetrics,
     snapshot: SnapshotMetrics,
-    open: Mutex<HashMap<RequestId, OpenRequest>>,
+    /// The prompt tokens of each request until it ends.
+    open: Mutex<HashMap<RequestId, u32>>,
+    rates: Mutex<PrefillRates>,
 }
 
 impl Default for Metrics {
@@ -172,7 +185,7 @@
         let events = EventMetrics::register(&mut registry);
         let snapshot = SnapshotMetrics::default();
         snapshot.register(&mut registry);
-        Metrics { registry, events, snapshot, open: Mutex::default() }
+        Metrics { registry, events, snapshot, open: Mutex::default(), rates: Mutex::default() }
     }
 
     /// Takes an event into account.
@@ -182,8 +195,9 @@
                 self.events.requests.inc();
                 self.follow(*request, *prompt_tokens);
             }
-            Event::Granted { attempt, queued, .. } => self.note_wait(attempt, *queued),
-            Event::FirstToken { attempt, after, .. } => self.note_first(attempt, *after),
+            Event::FirstToken { attempt, engine, after } => {
+                self.note_first(attempt.request, engine, *after);
+            }
             Event::Moved { .. } => {
                 self.events.moves.inc();
             }
@@ -220,6 +234,7 @@
         gauges.record_peers(status);
         gauges.record_engines(status);
         gauges.record_links(links, shed);
+        self.note_rates(status);
     }
 
     /// Returns the main counts since the start, for the status page.
@@ -265,7 +280,7 @@
     fn follow(&self, request: RequestId, prompt_tokens: u32) {
         let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
         if open.len() < MAX_OPEN {
-            open.insert(request, OpenRequest { prompt_tokens, queued: Duration::ZERO });
+            open.insert(request, prompt_tokens);
         }
     }
 
@@ -273,26 +288,26 @@
         self.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&request);
     }
 
-    fn note_wait(&self, attempt: &AttemptId, queued: Duration) {
-        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(request) = open.get_mut(&attempt.request) {
-            request.queued += queued;
-        }
-    }
-
     /// Notes the first token of a request; later attempts go on with an answer that has begun.
-    fn note_first(&self, attempt: &AttemptId, after: Duration) {
+    fn note_first(&self, request: RequestId, engine: &EngineName, after: Duration) {
         let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some(request) = open.get(&attempt.request).copied() else { return };
+        let Some(prompt_tokens) = open.get(&request).copied() else { return };
         drop(open);
-        let label = LengthLabel { prompt: length_label(request.prompt_tokens) };
+        let label = LengthLabel { prompt: length_label(prompt_tokens) };
         self.events.first_token.get_or_create(&label).observe(after.as_secs_f64());
-        let alone = after.saturating_sub(request.queued);
-        if !alone.is_zero() {
-            let slowdown = after.as_secs_f64() / alone.as_secs_f64();
-            self.events.slowdown.get_or_create(&label).observe(slowdown);
+        let rate = self.rates.lock().unwrap_or_else(PoisonError::into_inner).of(engine);
+        if let Some(rate) = rate {
+            let alone = (f64::from(prompt_tokens) / rate).max(MIN_ALONE.as_secs_f64());
+            self.events.slowdown.get_or_create(&label).observe(after.as_secs_f64() / alone);
         }
     }
+
+    fn note_rates(&self, status: &NodeStatus) {
+        let loads = status.targets.iter().filter_map(|target| target.load.as_ref());
+        let known = loads.filter(|load| load.prefill_rate > 0);
+        let engines = known.map(|load| (load.engine.clone(), load.prefill_rate)).collect();
+        *self.rates.lock().unwrap_or_else(PoisonError::into_inner) = PrefillRates { engines };
+    }
 }
 
 impl EventMetrics {
@@ -328,8 +343,8 @@
         );
         registry.register_with_unit(
             "slowdown",
-            "Time to the first token over the same without the wait in engines' queues",
-            Unit::Ratios,
+            "Time to the first token over an idle engine's time to read the prompt uncached",
+            Unit::Other("ratio".to_owned()),
             m.slowdown.clone(),
         );
         metrics
