--- a/lib/tests/test_frame.rs
+++ b/lib/tests/test_frame.rs
@@ -1,5 +1,10 @@
 //! Frames prove their sender and their connection, or are dropped with the right cause.
 
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
 use test_case::test_case;
 use wasabicrank_lib::protocol::*;
 use wasabicrank_lib::state::HostName;
@@ -8,6 +13,7 @@
 use wasabicrank_lib::state::WallTime;
 
 const NONCE: Nonce = Nonce([1; NONCE_BYTES]);
+const SEED: [u8; 32] = *b"wasabicrank peer frame, seed one";
 const REPLY: Nonce = Nonce([2; NONCE_BYTES]);
 
 fn key(byte: u8) -> FleetKey {
@@ -144,3 +150,27 @@
     table.set_known([]);
     assert_eq!(table.hear(&sender(1, 1), Moment(0)), Err(FrameError::UnknownSender));
 }
+
+/// Neither random bytes nor a hello cut or changed anywhere is taken, and none of them panics.
+#[test]
+fn random_hellos_are_refused() {
+    let mut out = FrameSender::new(&key(7), sender(3, 4), &receiver(), NONCE);
+    let hello = out.hello(LinkKind::Control, REPLY).unwrap();
+    let bytes = prop_oneof![
+        prop::collection::vec(any::<u8>(), 0..200),
+        (any::<prop::sample::Index>(), 1..=u8::MAX).prop_map(move |(at, change)| {
+            let mut changed = body(&hello).to_vec();
+            let at = at.index(changed.len());
+            changed[at] ^= change;
+            changed
+        }),
+    ];
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let config = Config { cases: 20_000, failure_persistence: None, ..Config::default() };
+    let result = TestRunner::new_with_rng(config, rng).run(&bytes, |frame| {
+        let listener = FrameListener::new(&key(7), &receiver(), NONCE);
+        prop_assert!(listener.accept(&frame).is_err());
+        Ok(())
+    });
+    result.unwrap();
+}
