--- a/cli/tests/test_check.rs
+++ b/cli/tests/test_check.rs
@@ -26,6 +26,14 @@
     PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../examples")
 }
 
+/// Makes a folder for one test.
+fn temp_folder(name: &str) -> PathBuf {
+    let name = format!("wasabicrank-check-{name}-{}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder).expect("a folder for the test");
+    folder
+}
+
 /// Runs the binary in the folder of the examples.
 fn run(arguments: &[&str], input: &str) -> Output {
     let mut child = Command::new(BINARY)
@@ -35,10 +43,10 @@
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
         .spawn()
-        .unwrap();
+        .expect("the binary starts");
     // A command that does not read its input may be gone already.
-    let _ = child.stdin.take().unwrap().write_all(input.as_bytes());
-    child.wait_with_output().unwrap()
+    let _ = child.stdin.take().expect("its input is a pipe").write_all(input.as_bytes());
+    child.wait_with_output().expect("the binary ends")
 }
 
 #[test_case(Case { arguments: &["--version"], stdout: &["wasabicrank 0."], ..EMPTY }; "version")]
@@ -112,8 +120,8 @@
 }; "blanks in a token")]
 fn test_command(case: Case) {
     let output = run(case.arguments, case.input);
-    let stdout = String::from_utf8(output.stdout).unwrap();
-    let stderr = String::from_utf8(output.stderr).unwrap();
+    let stdout = String::from_utf8(output.stdout).expect("its output is text");
+    let stderr = String::from_utf8(output.stderr).expect("its errors are text");
     assert_eq!(output.status.code(), Some(case.code), "{stdout}{stderr}");
     assert_eq!(stdout.is_empty(), case.stdout.is_empty(), "{stdout}");
     assert_eq!(stderr.is_empty(), case.stderr.is_empty(), "{stderr}");
@@ -150,11 +158,31 @@
     }
 }
 
+/// Returns the indented block that follows `mark` in the operators' page.
+fn page_block(mark: &str) -> String {
+    let page = std::fs::read_to_string(examples().join("../docs/operators.md"))
+        .expect("the operators' page is there");
+    let (_, rest) = page.split_once(mark).expect("the page has the mark");
+    let lines = rest.lines().skip_while(|line| !line.starts_with("    "));
+    lines.map_while(|line| line.strip_prefix("    ")).map(|line| format!("{line}\n")).collect()
+}
+
+/// The operators' page shows the messages that its rules with mistakes lead to.
+#[test]
+fn test_mistakes_on_the_operators_page() {
+    let folder = temp_folder("page");
+    std::fs::write(folder.join("mistakes.rules"), page_block("<!-- mistakes.rules -->")).unwrap();
+    let check = ["check", "--rules", "mistakes.rules"];
+    let output = Command::new(BINARY).args(check).current_dir(&folder).output().unwrap();
+    assert_eq!(String::from_utf8(output.stderr).unwrap(), page_block("<!-- mistakes -->"));
+    assert_eq!(output.status.code(), Some(1));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
 /// `settings --json` starts a file that lacks only a key.
 #[test]
 fn test_printed_settings_are_taken() {
-    let folder = std::env::temp_dir().join(format!("wasabicrank-check-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
+    let folder = temp_folder("settings");
     let (settings, key) = (folder.join("entry.json"), folder.join("peer.key"));
     std::fs::write(&key, format!("{}\n", "5a".repeat(32))).unwrap();
     let printed = String::from_utf8(run(&["settings", "--json"], "").stdout).unwrap();
@@ -170,7 +198,7 @@
 #[test_case(&["settings"]; "settings")]
 #[test_case(&["--help"]; "help")]
 fn test_closed_pipe_is_no_failure(arguments: &[&str]) {
-    let (reader, writer) = std::io::pipe().unwrap();
+    let (reader, writer) = std::io::pipe().expect("a pipe opens");
     drop(reader);
     let output = Command::new(BINARY)
         .args(arguments)
@@ -178,7 +206,7 @@
         .stdout(writer)
         .stderr(Stdio::piped())
         .output()
-        .unwrap();
+        .expect("the binary runs");
     assert!(output.status.success());
     assert_eq!(String::from_utf8_lossy(&output.stderr), "");
 }
