engine client: count silence only once tokens flow

Cause: a stream was given up after engine_idle without a byte, also while its engine read the prompt; every prefill over 10 s moved, and prompts near a million tokens failed for it. Ruled out: a longer bound, which would let a frozen engine hold its callers that long. Change: until the first token the request's own deadline bounds the wait, and an engine that hangs in prefill is told by its polls. A forward is noted once. Conclusion: long prefill is not mistaken for silence.

--- a/lib/src/coordination/node/calls.rs
+++ b/lib/src/coordination/node/calls.rs
@@ -170,10 +170,7 @@
     pub(super) fn do_home(&mut self, now: Now, outputs: Vec<HomeOutput>) {
         for output in outputs {
             match output {
-                HomeOutput::Send { to, message } => {
-                    self.note_forward(&to, &message);
-                    self.send(&to, message);
-                }
+                HomeOutput::Send { to, message } => self.send(&to, message),
                 HomeOutput::Run(forwarded) => self.run_as_home(now, *forwarded),
                 HomeOutput::Reply { request, result } => self.end_call(now.mono, request, result),
                 HomeOutput::Event(event) => self.note(event),
@@ -181,17 +178,6 @@
         }
     }
 
-    fn note_forward(
-        &mut self,
-        to: &crate::state::HostName,
-        message: &crate::coordination::PeerMessage,
-    ) {
-        if let crate::coordination::PeerMessage::Forward(forwarded) = message {
-            let request = forwarded.call.id;
-            self.note(Event::CallForwarded { request, home: to.clone() });
-        }
-    }
-
     fn run_as_home(&mut self, now: Now, forwarded: ForwardedCall) {
         let ForwardedCall { call, left } = forwarded;
         let Some(key) = call.key else { return };
--- a/lib/src/transport/engine_client.rs
+++ b/lib/src/transport/engine_client.rs
@@ -70,13 +70,16 @@
         let response = self.post(&url, start).await?;
         let mut events = response.bytes_stream().eventsource();
         let mut piece: Option<PendingPiece> = None;
+        // Prefill of a long prompt is silent for long; an engine that hangs in it is told by its
+        // polls. Silence counts once tokens flow.
+        let mut patience = start.left;
         loop {
             // What has already arrived is joined; only then is the core told.
             let next = match futures_util::poll!(events.next()) {
                 std::task::Poll::Ready(next) => next,
                 std::task::Poll::Pending => {
                     self.flush(start, &mut piece).await;
-                    let waited = tokio::time::timeout(self.idle, events.next()).await;
+                    let waited = tokio::time::timeout(patience, events.next()).await;
                     waited.map_err(|_| EngineSignal::Lost { refused: false })?
                 }
             };
@@ -93,6 +96,7 @@
                 // A crossed event is of another attempt and is never passed on.
                 continue;
             }
+            patience = self.idle;
             self.take(start, &mut piece, event.into()).await;
         }
     }
