node: learn the live list and the configuration from peers at a cold start

Cause: an entry host that started while the platform was down had no list, so no peers, and was not healthy until the platform came back. Ruled out: engines in the settings, which go stale; waiting for the platform. Change: until a list is known, the settings' peers are asked for it every half second; what they have is taken, and their heartbeats bring the configuration. Conclusion: a host needs the platform or one peer.

--- a/lib/src/coordination/node/control.rs
+++ b/lib/src/coordination/node/control.rs
@@ -33,6 +33,9 @@
 /// The longest wait after failed reads of the live list.
 const READ_PAUSE_MAX: Duration = Duration::from_secs(8);
 
+/// The time between two questions to the settings' peers while no live list is known.
+const SEED_PAUSE: Duration = Duration::from_millis(500);
+
 /// How long a stopping host still waits for heartbeats to tell its peers before it may end.
 const STOP_NOTICE: Duration = Duration::from_secs(1);
 
@@ -41,6 +44,7 @@
 pub(super) struct Control {
     seeds: Vec<PeerAddr>,
     seeded: bool,
+    seed_at: Moment,
     beat: u64,
     beat_at: Moment,
     sweep_at: Moment,
@@ -56,6 +60,7 @@
         Control {
             seeds,
             seeded: false,
+            seed_at: now,
             beat: 0,
             beat_at: now,
             sweep_at: now,
@@ -84,6 +89,7 @@
         let outputs = self.config.on_tick(now.mono, &self.members);
         self.do_config(now, outputs);
         self.read_live(now.mono);
+        self.ask_seeds(now.mono);
         self.poll_engines(now.mono);
         if now.mono >= self.control.beat_at {
             self.control.beat_at = now.mono + self.tuning.heartbeat;
@@ -279,10 +285,6 @@
         }
         self.control.reading_live = true;
         self.emit(Output::ReadLive { after: self.list.version });
-        if !self.control.seeded && !self.control.seeds.is_empty() {
-            self.control.seeded = true;
-            self.emit(Output::SetPeers(self.control.seeds.clone()));
-        }
     }
 
     /// Takes the platform's answer to a watch of the live list.
@@ -300,7 +302,6 @@
                 self.control.failed_reads += 1;
                 let pause = self.read_pause();
                 self.control.read_live_at = now.mono + pause;
-                self.ask_seeds_for_list();
             }
         }
     }
@@ -311,12 +312,17 @@
         doubled.min(READ_PAUSE_MAX).mul_f64(self.rng.random_range(0.5..1.0))
     }
 
-    /// Asks the peers of the settings for what they know, while no live list is known.
-    fn ask_seeds_for_list(&mut self) {
-        if self.list.version > 0 {
+    /// Asks the peers of the settings for the live list, while none is known.
+    fn ask_seeds(&mut self, now: Moment) {
+        if self.list.version > 0 || now < self.control.seed_at {
             return;
         }
+        self.control.seed_at = now + SEED_PAUSE;
         let seeds = self.control.seeds.clone();
+        if !self.control.seeded && !seeds.is_empty() {
+            self.control.seeded = true;
+            self.emit(Output::SetPeers(seeds.clone()));
+        }
         for seed in seeds {
             let pull = crate::coordination::ListPull { have: 0 };
             self.send(&seed.host, PeerMessage::ListPull(pull));
--- a/lib/src/coordination/node/io.rs
+++ b/lib/src/coordination/node/io.rs
@@ -129,7 +129,7 @@
         /// The order, with the fencing number of the configuration that it follows from.
         order: Order,
     },
-    /// The addresses of the peers changed.
+    /// The addresses of the peers changed; one whose name is not known is named by its address.
     SetPeers(Vec<PeerAddr>),
     /// Something to note in the time line.
     Note(Event),
--- a/lib/src/transport/core_thread.rs
+++ b/lib/src/transport/core_thread.rs
@@ -236,11 +236,7 @@
             Output::SendOrder { addr, order } => {
                 runtime.spawn(engines.clone().order(addr, order));
             }
-            Output::SetPeers(peers) => {
-                if let Err(error) = links.set_peers(&peers) {
-                    slog::warn!(self.log, "links to peers could not be opened"; "error" => %error);
-                }
-            }
+            Output::SetPeers(peers) => self.warn_links(links.set_peers(&peers)),
             Output::Note(event) => {
                 event_log::write(&self.log, &event);
                 self.shown.metrics.observe(&event);
@@ -251,6 +247,12 @@
         }
     }
 
+    fn warn_links(&self, opened: std::io::Result<()>) {
+        if let Err(error) = opened {
+            slog::warn!(self.log, "links to peers could not be opened"; "error" => %error);
+        }
+    }
+
     /// Passes a piece to a caller; one that reads too slowly is given up.
     fn answer(&mut self, ticket: CallerTicket, piece: AnswerPiece) {
         let more = matches!(piece, AnswerPiece::Accepted(_) | AnswerPiece::Text { .. });
