testutils: record times as they are and keep stand-ins silent

The histogram now reaches an hour, and an example checks it.

Rocket sets its log level for the whole process, so stand-ins that were launched at the same time printed each other's launch (3 of 5 runs of test_engine_http).

--- a/lib/testutils/src/engine.rs
+++ b/lib/testutils/src/engine.rs
@@ -101,7 +101,8 @@
     pub async fn start(config: EngineConfig) -> io::Result<Engine> {
         let entrance = config.entrance;
         let core = Arc::new(EngineCore::new(config));
-        let server = Server::launch(engine_http::rocket(core.clone()), entrance).await?;
+        let equip = |rocket| engine_http::equip(rocket, core.clone());
+        let server = Server::launch(equip, entrance).await?;
         core.set_addr(server.addr());
         let driver = tokio::spawn(core.clone().drive()).abort_handle();
         Ok(Engine { core, server, driver })
--- a/lib/testutils/src/engine_http.rs
+++ b/lib/testutils/src/engine_http.rs
@@ -46,11 +46,11 @@
 /// The highest priority of an engine.
 const MAX_PRIORITY: u8 = 9;
 
-/// Returns the server of an engine.
-pub(crate) fn rocket(core: Arc<EngineCore>) -> Rocket<Build> {
+/// Makes `rocket` the server of an engine.
+pub(crate) fn equip(rocket: Rocket<Build>, core: Arc<EngineCore>) -> Rocket<Build> {
     let routes =
         routes![complete, prefill, cancel, list_attempts, load, cache_events, receive_order];
-    rocket::build().manage(core).mount("/", routes)
+    rocket.manage(core).mount("/", routes)
 }
 
 /// A JSON answer with its status.
--- a/lib/testutils/src/load/report.rs
+++ b/lib/testutils/src/load/report.rs
@@ -11,6 +11,9 @@
 /// The significant digits of recorded times.
 const DIGITS: u8 = 3;
 
+/// The longest time that is recorded as it is, in microseconds: an hour.
+const LONGEST_MICROS: u64 = 3_600_000_000;
+
 /// How many broken guarantees are kept with their details.
 const KEPT_BROKEN: usize = 100;
 
@@ -56,12 +59,21 @@
 }
 
 /// A histogram of times, in microseconds.
+///
+/// ```
+/// use std::time::Duration;
+/// let mut times = wasabicrank_testutils::load::Times::default();
+/// times.add(Duration::from_millis(250));
+/// let median = times.quantile(0.5);
+/// assert!(median.abs_diff(Duration::from_millis(250)) < Duration::from_millis(1));
+/// ```
 #[derive(Debug, Clone)]
 pub struct Times(Histogram<u64>);
 
 impl Default for Times {
     fn default() -> Self {
-        Times(Histogram::new(DIGITS).expect("the digits are in range"))
+        let times = Histogram::new_with_bounds(1, LONGEST_MICROS, DIGITS);
+        Times(times.expect("the bounds and digits are in range"))
     }
 }
 
--- a/lib/testutils/src/platform.rs
+++ b/lib/testutils/src/platform.rs
@@ -11,6 +11,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rocket::Build;
+use rocket::Rocket;
 use rocket::State;
 use rocket::get;
 use rocket::http::Status;
@@ -95,9 +97,9 @@
 
 impl PlatformView {
     async fn start(core: Arc<Core>, routes: PeerRoutes) -> io::Result<PlatformView> {
-        let rocket = rocket::build().manage(View { core, routes });
-        let rocket = rocket.mount("/", routes![config, live]);
-        let server = Server::launch(rocket, Entrance::Relay).await?;
+        let view = View { core, routes };
+        let equip = |rocket: Rocket<Build>| rocket.manage(view).mount("/", routes![config, live]);
+        let server = Server::launch(equip, Entrance::Relay).await?;
         Ok(PlatformView { server })
     }
 
--- a/lib/testutils/src/server.rs
+++ b/lib/testutils/src/server.rs
@@ -32,6 +32,12 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Held while a server is made and launched.
+///
+/// Rocket sets the level of its log for the whole process, to its own default when a server is made
+/// and to the configured one when it is launched; two at a time would log each other's launch.
+static LAUNCHING: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+
 /// Where a stand-in's clients reach it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Entrance {
@@ -51,16 +57,23 @@
 }
 
 impl Server {
-    /// Launches `rocket` on a free port of the loopback address, on the caller's runtime.
-    pub(crate) async fn launch(rocket: Rocket<Build>, entrance: Entrance) -> io::Result<Server> {
+    /// Launches what `equip` makes of an empty server on a free port of the loopback address, on
+    /// the caller's runtime.
+    pub(crate) async fn launch(
+        equip: impl FnOnce(Rocket<Build>) -> Rocket<Build>,
+        entrance: Entrance,
+    ) -> io::Result<Server> {
+        let launching = LAUNCHING.lock().await;
+        let rocket = equip(rocket::custom(config()));
         let (sender, receiver) = oneshot::channel();
         let liftoff = AdHoc::on_liftoff("port", move |rocket| {
             Box::pin(async move {
                 let _ = sender.send((rocket.config().port, rocket.shutdown()));
             })
         });
-        tokio::spawn(rocket.configure(config()).attach(liftoff).launch());
+        tokio::spawn(rocket.attach(liftoff).launch());
         let (port, shutdown) = receiver.await.map_err(io::Error::other)?;
+        drop(launching);
         let inner = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
         let relay = match entrance {
             Entrance::Relay => Some(Arc::new(Relay::start(inner).await?)),
--- a/lib/testutils/src/service.rs
+++ b/lib/testutils/src/service.rs
@@ -6,9 +6,11 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use rocket::Build;
 use rocket::Data;
 use rocket::Request;
 use rocket::Response;
+use rocket::Rocket;
 use rocket::Route;
 use rocket::data::ToByteUnit;
 use rocket::http::ContentType;
@@ -90,8 +92,8 @@
             relay: Mutex::default(),
         });
         let call = |method| Route::new(method, "/<path..>", CallHandler(core.clone()));
-        let rocket = rocket::build().mount("/", METHODS.map(call).to_vec());
-        let server = Server::launch(rocket, Entrance::Relay).await?;
+        let equip = |rocket: Rocket<Build>| rocket.mount("/", METHODS.map(call).to_vec());
+        let server = Server::launch(equip, Entrance::Relay).await?;
         *lock(&core.relay) = server.relay();
         Ok(Service { core, server })
     }
--- a/lib/testutils/src/weight_store.rs
+++ b/lib/testutils/src/weight_store.rs
@@ -6,6 +6,8 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use rocket::Build;
+use rocket::Rocket;
 use rocket::State;
 use rocket::get;
 use rocket::http::Status;
@@ -49,8 +51,9 @@
     pub async fn start(rate: u32, load_time: Duration) -> io::Result<WeightStore> {
         let window = Mutex::new(RateWindow::new(RATE_SPAN, Some(rate)));
         let store = Arc::new(Store { window, counts: Mutex::default(), load_time });
-        let rocket = rocket::build().manage(store.clone()).mount("/", routes![weights]);
-        let server = Server::launch(rocket, Entrance::Relay).await?;
+        let state = store.clone();
+        let equip = |rocket: Rocket<Build>| rocket.manage(state).mount("/", routes![weights]);
+        let server = Server::launch(equip, Entrance::Relay).await?;
         Ok(WeightStore { store, server })
     }
 
