--- a/lib/testutils/src/load/report.rs
+++ b/lib/testutils/src/load/report.rs
@@ -59,13 +59,21 @@
 }
 
 /// A histogram of times, in microseconds.
+///
+/// ```
+/// use std::time::Duration;
+/// let mut times = wasabicrank_testutils::load::Times::default();
+/// times.add(Duration::from_millis(250));
+/// let median = times.quantile(0.5);
+/// assert!(median.abs_diff(Duration::from_millis(250)) < Duration::from_millis(1));
+/// ```
 #[derive(Debug, Clone)]
 pub struct Times(Histogram<u64>);
 
 impl Default for Times {
     fn default() -> Self {
-        let times = Histogram::new_with_max(LONGEST_MICROS, DIGITS);
-        Times(times.expect("the digits are in range"))
+        let times = Histogram::new_with_bounds(1, LONGEST_MICROS, DIGITS);
+        Times(times.expect("the bounds and digits are in range"))
     }
 }
 
