--- a/lib/tests/test_voters.rs
+++ b/lib/tests/test_voters.rs
@@ -69,7 +69,7 @@
     let mut voter = Homes::new(HostName::new("h0"), Incarnation(1), settings, 1, Now::default());
     voter.set_hosts(Now::default(), &hosts);
     for step in steps {
-        let now = Now { mono: Moment(step.at * 1_000), wall: WallTime(step.at) };
+        let now = now_at(step.at);
         let shards = vec![3];
         let message = match step.what {
             Ask(round) => LeaseMessage::Ask { round, list: 1, sets: sets.clone(), shards },
@@ -116,12 +116,74 @@
         incarnation: Incarnation(1),
         message: PeerMessage::Lease(ask),
     };
-    match &homes.on_peer(Now::default(), &envelope)[..] {
-        [
-            HomeOutput::Send {
-                message: PeerMessage::Lease(LeaseMessage::Grant { sets, .. }), ..
-            },
-        ] => sets.clone(),
-        other => panic!("{other:?}"),
+    sets_in(&homes.on_peer(Now::default(), &envelope))
+}
+
+/// Returns the sets that a reply names.
+fn sets_in(outputs: &[HomeOutput]) -> Vec<u64> {
+    let sets = outputs.iter().find_map(|output| match output {
+        HomeOutput::Send {
+            message: PeerMessage::Lease(LeaseMessage::Grant { sets, .. }), ..
+        } => Some(sets.clone()),
+        _ => Option::None,
+    });
+    sets.unwrap_or_default()
+}
+
+fn now_at(at: u64) -> Now {
+    Now { mono: Moment(at * 1_000), wall: WallTime(at) }
+}
+
+/// What the voter `h0` hears of others' sets or needs itself, so many milliseconds after its start.
+/// It knows the sets that it was published; `A`, `B` and `C` follow each other.
+#[derive(Debug, Clone, Copy)]
+enum Change {
+    Published(u64, char),
+    Heard(u64, &'static str, &'static str),
+    Needs(u64, &'static str),
+}
+
+use Change::*;
+
+#[test_case(&[Published(0, 'A'), Needs(1, "A"), Published(10, 'B'), Needs(9_000, "AB")]; "both sets until others are known to have moved")]
+#[test_case(&[Published(0, 'A'), Published(10, 'B'), Heard(20, "h1", "AB"), Needs(2_119, "AB"), Needs(2_121, "B")]; "the old set ends a lease after most have moved")]
+#[test_case(&[Published(0, 'A'), Published(10, 'B'), Heard(20, "h1", "B"), Needs(2_121, "B")]; "the word of a host that has finished the change")]
+#[test_case(&[Published(0, 'A'), Published(10, 'B'), Heard(20, "h1", "A"), Heard(20, "h3", "B"), Needs(9_000, "AB")]; "the word of a host that has not moved, and of one that is not in the old set")]
+#[test_case(&[Published(0, 'B'), Published(10, 'C'), Heard(20, "h3", "ABC"), Needs(9_000, "BC")]; "the word of a host that needs a set unknown here")]
+#[test_case(&[Published(0, 'A'), Published(10, 'B'), Published(20, 'C'), Heard(30, "h3", "BC"), Needs(9_000, "ABC")]; "no set ends before an earlier one")]
+#[test_case(&[Published(0, 'A'), Published(10, 'B'), Published(20, 'C'), Heard(30, "h3", "BC"), Heard(40, "h1", "AC"), Needs(9_000, "C")]; "a host that skipped a set has left the earlier one")]
+fn needs_majorities_of(steps: &[Change]) {
+    let settings = HomeSettings { lease: Duration::from_secs(2), ..HomeSettings::default() };
+    let mut voter = Homes::new(HostName::new("h0"), Incarnation(1), settings, 1, Now::default());
+    for step in steps {
+        let (at, from, sets) = match *step {
+            Published(at, set) => {
+                voter.set_hosts(now_at(at), &published(set));
+                continue;
+            }
+            Heard(at, from, sets) => (at, from, sets),
+            Needs(at, _) => (at, "h9", ""),
+        };
+        let list = u64::from(sets.as_bytes().last().copied().unwrap_or(0));
+        let sets = sets.chars().flat_map(|set| sets_of(&published(set))).collect();
+        let ask = LeaseMessage::Ask { round: 1, list, sets, shards: Vec::new() };
+        let (from, incarnation) = (HostName::new(from), Incarnation(1));
+        let envelope = Envelope { from, incarnation, message: PeerMessage::Lease(ask) };
+        let outputs = voter.on_peer(now_at(at), &envelope);
+        if let Needs(_, expected) = step {
+            let expected: Vec<_> =
+                expected.chars().flat_map(|set| sets_of(&published(set))).collect();
+            assert_eq!(sets_in(&outputs), expected, "{step:?}");
+        }
     }
 }
+
+/// The version of a published list is its letter's number.
+fn published(set: char) -> LiveList {
+    let names = match set {
+        'A' => ["h0", "h1", "h2"],
+        'B' => ["h0", "h1", "h3"],
+        _ => ["h0", "h3", "h4"],
+    };
+    list(u64::from(u32::from(set)), &names)
+}
