home: settle schedules early, config_spread: test the start before peers are heard

The lease's end on the monotonic clock alone was hidden behind its end on the wall clock.

Change: a schedule ends once nothing is left that could run a call or answer one; a starting process hears its peers a second late and must put only the newest version in force; may_send is tried with each clock alone.

--- a/lib/tests/test_config_spread.rs
+++ b/lib/tests/test_config_spread.rs
@@ -28,7 +28,9 @@
     members: Members,
     started: u64,
     cut: bool,
-    highest: u64,
+    /// Until when it hears no heartbeats.
+    deaf: u64,
+    in_force: Vec<u64>,
     refusals: Vec<(u64, Vec<String>)>,
 }
 
@@ -79,7 +81,8 @@
             members,
             started: self.now,
             cut: false,
-            highest: 0,
+            deaf: 0,
+            in_force: Vec::new(),
             refusals: Vec::new(),
         }
     }
@@ -114,7 +117,8 @@
         let beat = Heartbeat { beat: self.now, config, config_hash, ..Heartbeat::default() };
         let from = host.name.clone();
         for to in 0..self.hosts.len() {
-            if to == at || self.hosts[to].cut || self.hosts[at].cut {
+            let deaf = self.hosts[to].deaf > self.now;
+            if to == at || deaf || self.hosts[to].cut || self.hosts[at].cut {
                 continue;
             }
             let peer = &mut self.hosts[to];
@@ -131,8 +135,9 @@
                 ConfigOutput::Watch { after, .. } => self.watch(at, after),
                 ConfigOutput::InForce(rules) => {
                     let host = &mut self.hosts[at];
-                    assert!(rules.version > host.highest, "version {} again", rules.version);
-                    host.highest = rules.version;
+                    let last = host.in_force.last().copied().unwrap_or(0);
+                    assert!(rules.version > last, "{} after {last}", rules.version);
+                    host.in_force.push(rules.version);
                 }
                 ConfigOutput::Event(Event::ConfigRefused { version, errors }) => {
                     self.hosts[at].refusals.push((version, errors));
@@ -211,12 +216,13 @@
     let mut fleet = Fleet::new(5);
     fleet.publish(7, "seven\n");
     fleet.run(9);
-    // The service answers the new process at once, with an older value.
+    // The service answers the new process before it hears its peers, with an older value.
     fleet.publish(5, "five\n");
     fleet.restart(3);
+    fleet.hosts[3].deaf = fleet.now + SECOND;
     fleet.run(9);
     assert_eq!(fleet.versions(), [7; 5]);
-    assert_eq!(fleet.hosts[3].highest, 7);
+    assert_eq!(fleet.hosts[3].in_force, [7]);
     fleet.service.down = true;
     fleet.restart(2);
     fleet.run(9);
--- a/lib/tests/test_home_calls.rs
+++ b/lib/tests/test_home_calls.rs
@@ -169,21 +169,24 @@
     Nothing,
     Sent,
     SentAndNotConnected,
-    /// The process slept, and its clocks went on.
-    Slept(u64),
+    /// The process slept, and its monotonic and its wall clock went on so many milliseconds.
+    Slept(u64, u64),
     Answered,
 }
 
 #[test_case(Before::Nothing, true; "at once")]
 #[test_case(Before::Sent, false; "a second time")]
 #[test_case(Before::SentAndNotConnected, true; "after no connection was made")]
-#[test_case(Before::Slept(1_300), true; "after a sleep that the lease outlasts")]
-#[test_case(Before::Slept(2_000), false; "after the lease ended")]
+#[test_case(Before::Slept(1_300, 1_300), true; "after a sleep that the lease outlasts")]
+#[test_case(Before::Slept(2_000, 2_000), false; "after the lease ended")]
+#[test_case(Before::Slept(0, 2_100), false; "after a suspend in which the monotonic clock stood")]
+#[test_case(Before::Slept(2_000, 0), false; "after the lease ended and the wall clock was set back")]
 #[test_case(Before::Answered, false; "after the call was answered")]
 fn may_send_says_yes_once_and_under_a_lease(before: Before, may: bool) {
     let mut home = Home::new(HomeSettings::default());
     let key = key_made(5_000, 1);
     home.call(key, "call", 60_000);
+    let mut now = now_at(home.at);
     match before {
         Before::Nothing => {}
         Before::Sent => assert!(home.may_send(key)),
@@ -191,10 +194,13 @@
             assert!(home.may_send(key));
             home.homes.on_not_connected(key);
         }
-        Before::Slept(span) => home.at += span,
+        Before::Slept(mono, wall) => {
+            now.mono = now_at(home.at + mono).mono;
+            now.wall = now_at(home.at + wall).wall;
+        }
         Before::Answered => drop(home.result(key, CallResult::NotSent)),
     }
-    assert_eq!(home.may_send(key), may);
+    assert_eq!(home.homes.may_send(now, key), may);
 }
 
 #[test]
--- a/lib/tests/test_homes.rs
+++ b/lib/tests/test_homes.rs
@@ -78,7 +78,7 @@
     world.run(4_000_000, 3_800_000, 350);
     world.heal();
     // A frozen host finds its last copies 1.5 s later, and they have 1.5 s left.
-    world.run(7_200_000, 0, 0);
+    world.settle(7_200_000);
     let counts = world.finish();
     match world.error {
         Some(error) => Err(format!("seed {seed}: {error}")),
