measure: print time to first token and slowdown beside naive routers

Cause: what placement and queues are worth must be seen in one run.

Change: `wasabicrank measure` replays eight loads against the system, round robin and least outstanding with the same seed, then the system with each mechanism off, and writes CSV and SVG. test_replay holds the targets.

--- /dev/null
+++ b/cli/src/commands/measure/mod.rs
@@ -0,0 +1,136 @@
+//! `wasabicrank measure`: replays seeded loads and compares the system with naive routers.
+
+mod chart;
+mod table;
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use argh::FromArgs;
+use wasabicrank_testutils::naive::NaivePick;
+use wasabicrank_testutils::replay_fleet::FleetSettings;
+use wasabicrank_testutils::replay_measure::Contender;
+use wasabicrank_testutils::replay_measure::Measures;
+use wasabicrank_testutils::replay_measure::Scenario;
+
+use crate::output::Exit;
+use crate::output::complain;
+use crate::output::print;
+
+/// How long requests arrive in one replay.
+const SPAN: Duration = Duration::from_secs(600);
+
+/// The same for a quick look.
+const QUICK_SPAN: Duration = Duration::from_secs(120);
+
+/// Replay seeded loads in virtual time and measure time to first token by prompt length and the
+/// slowdown of short requests, beside round robin and least outstanding.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "measure",
+    example = "{command_name} --quick",
+    example = "Write CSV and SVG files:\n  {command_name} --out measures --seed 7",
+    error_code(0, "the measures are on standard output"),
+    error_code(1, "a file could not be written"),
+    error_code(2, "wrong use of the command line")
+)]
+pub(crate) struct Measure {
+    /// replay two minutes of each load in place of ten
+    #[argh(switch)]
+    quick: bool,
+    /// write measures.csv, mechanisms.csv, first-token.svg and slowdown.svg to this directory
+    #[argh(option)]
+    out: Option<PathBuf>,
+    /// the seed of the arrivals; the same seed gives the same measures
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+/// One measured run.
+struct Run {
+    scenario: &'static str,
+    contender: &'static str,
+    measures: Measures,
+}
+
+impl Measure {
+    /// Runs all replays, prints their tables and writes the files.
+    pub(crate) fn run(self) -> Exit {
+        let span = if self.quick { QUICK_SPAN } else { SPAN };
+        let scenarios = Scenario::all(span, self.seed);
+        let mut runs = Vec::new();
+        for scenario in &scenarios {
+            complain(&format!("replaying: {}", scenario.name));
+            runs.extend(contenders().into_iter().map(|contender| run(scenario, contender)));
+        }
+        complain("replaying: mechanisms switched off");
+        let base = Scenario::plain("load 70%", 0.7, span, self.seed);
+        let off: Vec<Run> = mechanisms()
+            .into_iter()
+            .map(|(name, contender)| Run { contender: name, ..run(&base, contender) })
+            .collect();
+        let printed = print(&format!("{}\n{}", table::measures(&runs), table::mechanisms(&off)));
+        let Some(dir) = &self.out else { return printed };
+        match write_files(dir, &runs, &off) {
+            Ok(()) => printed,
+            Err(error) => {
+                complain(&format!("{}: {error}", dir.display()));
+                Exit::Failure
+            }
+        }
+    }
+}
+
+fn run(scenario: &Scenario, contender: Contender) -> Run {
+    let measures = scenario.measure(&contender);
+    Run { scenario: scenario.name, contender: contender.name(), measures }
+}
+
+/// Returns the system and the naive routers.
+fn contenders() -> [Contender; 3] {
+    [
+        Contender::ours(),
+        Contender::Naive(NaivePick::RoundRobin),
+        Contender::Naive(NaivePick::LeastOutstanding),
+    ]
+}
+
+/// Returns the system whole and with each mechanism switched off.
+fn mechanisms() -> Vec<(&'static str, Contender)> {
+    let off = |change: fn(&mut FleetSettings)| {
+        let mut settings = FleetSettings::default();
+        change(&mut settings);
+        Contender::Ours(Box::new(settings))
+    };
+    vec![
+        ("all on", Contender::ours()),
+        ("no length isolation", off(without_isolation)),
+        ("no prefix reuse", off(without_prefixes)),
+        ("no reports of peers", off(|settings| settings.placer.peer_reports = false)),
+        ("no reserve", off(|settings| settings.placer.short_reserve = false)),
+    ]
+}
+
+fn without_isolation(settings: &mut FleetSettings) {
+    settings.queue.length_isolation = false;
+    settings.placer.length_isolation = false;
+}
+
+fn without_prefixes(settings: &mut FleetSettings) {
+    settings.queue.prefix_reuse = false;
+    settings.placer.prefix_affinity = false;
+}
+
+fn write_files(dir: &Path, runs: &[Run], off: &[Run]) -> Result<(), String> {
+    fs::create_dir_all(dir).map_err(|error| error.to_string())?;
+    let write = |name: &str, text: String| {
+        fs::write(dir.join(name), text).map_err(|error| format!("{name}: {error}"))
+    };
+    write("measures.csv", table::csv(runs))?;
+    write("mechanisms.csv", table::csv(off))?;
+    write("first-token.svg", chart::first_token(runs)?)?;
+    write("slowdown.svg", chart::slowdown(runs)?)
+}
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod fetch;
 mod hash_token;
+mod measure;
 mod serve;
 mod settings;
 mod status;
@@ -21,6 +22,7 @@
     Check(check::Check),
     Demo(demo::Demo),
     HashToken(hash_token::HashToken),
+    Measure(measure::Measure),
     Serve(serve::Serve),
     Settings(settings::PrintSettings),
     Status(status::Status),
@@ -35,6 +37,7 @@
             Command::Check(command) => command.run(),
             Command::Demo(command) => command.run(),
             Command::HashToken(command) => command.run(),
+            Command::Measure(command) => command.run(),
             Command::Serve(command) => command.run(),
             Command::Settings(command) => command.run(),
             Command::Status(command) => command.run(),
--- a/lib/testutils/src/replay.rs
+++ b/lib/testutils/src/replay.rs
@@ -253,6 +253,12 @@
     }
 
     fn lose_zone(&mut self, zone: usize) {
+        for request in 0..self.arrivals.len() {
+            let arrival = &self.arrivals[request];
+            if arrival.at <= self.now && zone_of(arrival.host % HOSTS) == zone {
+                self.end(request, End::HostLost);
+            }
+        }
         for engine in (0..ENGINES).filter(|engine| zone_of(*engine) == zone) {
             for holding in self.engines[engine].holdings() {
                 let attempt = holding.attempt;
