--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod fetch;
 mod hash_token;
+mod measure;
 mod serve;
 mod settings;
 mod stand_ins;
@@ -22,6 +23,7 @@
     Check(check::Check),
     Demo(demo::Demo),
     HashToken(hash_token::HashToken),
+    Measure(measure::Measure),
     Serve(serve::Serve),
     Settings(settings::PrintSettings),
     StandIns(stand_ins::StandIns),
@@ -37,6 +39,7 @@
             Command::Check(command) => command.run(),
             Command::Demo(command) => command.run(),
             Command::HashToken(command) => command.run(),
+            Command::Measure(command) => command.run(),
             Command::Serve(command) => command.run(),
             Command::Settings(command) => command.run(),
             Command::StandIns(command) => command.run(),
