testutils: read status, wait on conditions and ask as a crowd

Proofs under failure with processes need callers that ask at the same time, the status of each entry host and waits on conditions.

--- /dev/null
+++ b/cli/tests/test_failures_streams.rs
@@ -0,0 +1,188 @@
+//! Answers and engine memory while engines and entry hosts die, freeze and wake late.
+
+use std::time::Duration;
+
+use reqwest::Client;
+use serde_json::json;
+use test_case::test_case;
+use wasabicrank_testutils::customers::FleetRules;
+use wasabicrank_testutils::customers::todays_customers;
+use wasabicrank_testutils::engine::Engine;
+use wasabicrank_testutils::engine::EngineConfig;
+use wasabicrank_testutils::engine_model::ModelConfig;
+use wasabicrank_testutils::fleet::Fleet;
+use wasabicrank_testutils::fleet::FleetConfig;
+use wasabicrank_testutils::fleet::FleetEngine;
+use wasabicrank_testutils::load::CompletionEnd;
+use wasabicrank_testutils::load::CompletionStory;
+use wasabicrank_testutils::load::Crowd;
+use wasabicrank_testutils::load::CrowdAsk;
+use wasabicrank_testutils::operators::read_status;
+use wasabicrank_testutils::operators::wait_until;
+use wasabicrank_testutils::process::Signal;
+use wasabicrank_testutils::stream_faults::StreamFaults;
+
+/// How long a test waits for what it expects.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Within what time the memory of a lost entry host's requests must be free on all engines.
+const FREE_WITHIN: Duration = Duration::from_secs(15);
+
+/// The silence after which a stream is given up, in milliseconds.
+const ENGINE_IDLE_MS: u64 = 1_000;
+
+/// The number of engines.
+const ENGINES: usize = 4;
+
+/// The most memory that one engine has, in tokens; the long prompt needs more.
+const ENGINE_MEMORY: u32 = 60_000;
+
+/// Starts three entry hosts before engines that make some 1,500 tokens a second for one stream.
+async fn start_fleet(engines: usize) -> Fleet {
+    let model = ModelConfig { memory: ENGINE_MEMORY, ..ModelConfig::default() };
+    let config = FleetConfig {
+        binary: Some(env!("CARGO_BIN_EXE_wasabicrank").into()),
+        entry_hosts: 3,
+        engines,
+        engine: EngineConfig { speed: 20.0, model, ..EngineConfig::default() },
+        rules: FleetRules::default().text(&todays_customers()),
+        settings: json!({
+            "log_level": "warning",
+            "engine_idle_ms": ENGINE_IDLE_MS,
+            "orphan_margin_ms": 2_000,
+        }),
+        ..FleetConfig::default()
+    };
+    Fleet::start(config).await.expect("the fleet starts")
+}
+
+fn streams(callers: usize) -> CrowdAsk {
+    CrowdAsk {
+        token: "token-1".to_owned(),
+        callers,
+        prompt_tokens: 200,
+        answer_tokens: 3_000,
+        deadline: PATIENCE,
+    }
+}
+
+fn assert_whole(stories: &[CompletionStory]) {
+    for story in stories {
+        assert_eq!(story.end, CompletionEnd::Answered { right: true }, "{}", story.request);
+    }
+}
+
+/// A fault of one engine, or of the streams of some.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    Kill,
+    Freeze,
+    Streams(StreamFaults),
+}
+
+impl Fault {
+    fn strike(self, engine: &Engine) {
+        match self {
+            Fault::Kill => engine.kill(),
+            Fault::Freeze => engine.freeze(),
+            Fault::Streams(faults) => engine.set_stream_faults(faults),
+        }
+    }
+}
+
+struct EngineCase {
+    fault: Fault,
+    /// Whether one engine has it, so that answers must go on at another; otherwise all have it.
+    moves: bool,
+}
+
+const NONE: StreamFaults = StreamFaults {
+    duplicate_every: 0,
+    late_every: 0,
+    crossed_every: 0,
+    gap_every: 0,
+    corrupt_every: 0,
+    cut_after: None,
+    stall_after: None,
+};
+
+#[test_case(EngineCase { fault: Fault::Kill, moves: true }; "killed")]
+#[test_case(EngineCase { fault: Fault::Freeze, moves: true }; "frozen")]
+#[test_case(EngineCase {
+    fault: Fault::Streams(StreamFaults { cut_after: Some(1), ..NONE }), moves: true,
+}; "streams cut")]
+#[test_case(EngineCase {
+    fault: Fault::Streams(StreamFaults { stall_after: Some(1), ..NONE }), moves: true,
+}; "streams stalled")]
+#[test_case(EngineCase {
+    fault: Fault::Streams(StreamFaults { gap_every: 50, ..NONE }), moves: true,
+}; "pieces left out")]
+#[test_case(EngineCase {
+    fault: Fault::Streams(StreamFaults { crossed_every: 7, ..NONE }), moves: false,
+}; "pieces of other answers")]
+#[test_case(EngineCase {
+    fault: Fault::Streams(StreamFaults { duplicate_every: 3, late_every: 5, ..NONE }),
+    moves: false,
+}; "pieces twice and late")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn test_engine_fault_leaves_answers_whole(case: EngineCase) {
+    let fleet = start_fleet(ENGINES).await;
+    let mut crowd = Crowd::default();
+    crowd.send(&fleet.callers(), &streams(12));
+    let streaming = |engine: &&FleetEngine| !engine.engine.holdings().is_empty();
+    let running = async || fleet.engines.iter().any(|engine| streaming(&engine));
+    assert!(wait_until(PATIENCE, running).await.is_some(), "no engine has a stream");
+    let first = fleet.engines.iter().position(|engine| streaming(&engine)).unwrap_or_default();
+    let struck = match case.moves {
+        true => &fleet.engines[first..=first],
+        false => &fleet.engines[..],
+    };
+    struck.iter().for_each(|engine| case.fault.strike(&engine.engine));
+    let stories = crowd.finish().await;
+    assert_whole(&stories);
+    let moved = fleet.engine_runs.repeated().len();
+    assert_eq!(moved > 0, case.moves, "{moved} answers went on at another engine");
+    struck.iter().for_each(|engine| engine.engine.thaw());
+    assert!(fleet.wait_idle(FREE_WITHIN).await.is_some(), "memory is still held");
+}
+
+/// How an entry host goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Loss {
+    Killed,
+    Frozen,
+}
+
+#[test_case(Loss::Killed; "killed")]
+#[test_case(Loss::Frozen; "frozen and woken late")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn test_lost_entry_host_leaves_answers_whole_and_memory_free(loss: Loss) {
+    let mut fleet = start_fleet(6).await;
+    let status = read_status(&Client::new(), fleet.hosts[0].operators().unwrap()).await;
+    let owner = status.expect("the entry host shows its status").incarnation;
+    let hosts = fleet.callers();
+    let mut crowd = Crowd::default();
+    crowd.send(&hosts, &CrowdAsk { prompt_tokens: 100_000, ..streams(1) });
+    let holds = |fleet: &Fleet, export: bool| {
+        let held = fleet.engines.iter().flat_map(|engine| engine.engine.holdings());
+        held.filter(|held| held.owner.to_string() == owner && (!export || held.export)).count()
+    };
+    let exported = wait_until(PATIENCE, async || holds(&fleet, true) > 0).await;
+    assert!(exported.is_some(), "no segment of the long prompt is held");
+    crowd.send(&hosts, &streams(9));
+    let streaming = wait_until(PATIENCE, async || holds(&fleet, false) >= 4).await;
+    assert!(streaming.is_some(), "no streams run beside the long prompt");
+    match loss {
+        Loss::Killed => fleet.kill_host(0),
+        Loss::Frozen => fleet.signal_host(0, Signal::Stop).unwrap(),
+    }
+    let freed = wait_until(FREE_WITHIN, async || holds(&fleet, false) == 0).await;
+    assert!(freed.is_some(), "{} things of the lost entry host are held", holds(&fleet, false));
+    println!("{loss:?}: the lost entry host's memory was free after {freed:?}");
+    fleet.signal_host(0, Signal::Continue).unwrap();
+    let stories = crowd.finish().await;
+    assert_whole(&stories);
+    let came_back = stories.iter().filter(|story| story.came_back > 0).count();
+    assert_eq!(came_back > 0, loss == Loss::Killed, "{came_back} callers came back");
+    assert!(fleet.wait_idle(FREE_WITHIN).await.is_some(), "memory is still held");
+}
--- a/lib/testutils/src/fleet.rs
+++ b/lib/testutils/src/fleet.rs
@@ -17,6 +17,7 @@
 use crate::live::LiveEngine;
 use crate::live::LiveEntryHost;
 use crate::live::LiveService;
+use crate::operators::operator_addr;
 use crate::platform::Platform;
 use crate::platform::PlatformView;
 use crate::ports::free_port;
@@ -123,6 +124,11 @@
     pub fn callers(&self) -> io::Result<SocketAddr> {
         caller_addr(&self.settings)
     }
+
+    /// Returns where operators connect, whether or not there is a process.
+    pub fn operators(&self) -> io::Result<SocketAddr> {
+        operator_addr(&self.settings)
+    }
 }
 
 /// A running fleet; all of it ends when it is dropped.
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod live;
 pub mod load;
 pub mod naive;
+pub mod operators;
 pub mod platform;
 pub mod ports;
 pub mod prefix_cache;
--- a/lib/testutils/src/load/mod.rs
+++ b/lib/testutils/src/load/mod.rs
@@ -6,6 +6,7 @@
 mod call;
 mod completion;
 mod config;
+mod crowd;
 mod evidence;
 mod plan;
 mod report;
@@ -14,6 +15,7 @@
 pub use call::*;
 pub use completion::*;
 pub use config::*;
+pub use crowd::*;
 pub use plan::*;
 pub use report::*;
 pub use runner::*;
