node: let no leave cover what a dead owner left on an engine

Cause: a dispatcher that had itself given leave took an attempt for covered for good, so what a killed entry host left there was never cancelled (the queue has owner_gone, nobody called it). The owners in each listing that are dead by the members' view now lose their leave; the margin before a cancel is unchanged.

--- a/lib/src/coordination/node/dispatch.rs
+++ b/lib/src/coordination/node/dispatch.rs
@@ -1,6 +1,7 @@
 //! The engines that this entry host dispatches for: their queues, listings and orphans.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use super::Node;
@@ -144,7 +145,12 @@
     /// Cancels what the engine holds for processes that are gone, after a margin that a slow but
     /// live owner survives.
     fn cancel_orphans(&mut self, now: Moment, engine: &EngineName, listing: &[ListedAttempt]) {
+        let gone = self.gone_owners(now, listing);
         let Some(owned) = self.dispatch.engines.get_mut(engine) else { return };
+        // A leave that was given to a process which is gone must not cover what it left.
+        for owner in gone {
+            owned.queue.owner_gone(now, owner);
+        }
         let suspects = owned.queue.listing(now, listing);
         let dead: Vec<Suspect> = suspects.into_iter().filter(|s| self.is_orphan(now, s)).collect();
         let margin = self.tuning.orphan_margin;
@@ -156,6 +162,13 @@
         }
     }
 
+    /// Returns the owners in an engine's listing that are not alive.
+    fn gone_owners(&self, now: Moment, listing: &[ListedAttempt]) -> BTreeSet<Incarnation> {
+        let owners = listing.iter().map(|item| item.owner);
+        let others = owners.filter(|owner| *owner != self.incarnation);
+        others.filter(|owner| self.members.owner_state(now, *owner) == OwnerState::Dead).collect()
+    }
+
     fn is_orphan(&self, now: Moment, suspect: &Suspect) -> bool {
         if suspect.owner == self.incarnation {
             return !self.has_attempt(suspect.attempt);
