engine_client: report a repeated piece by itself

Cause: a piece that came again was joined with the next one, and the core took the result for an overlap and gave the stream up. Pieces are joined only past the furthest end that came.

--- a/lib/src/transport/engine_client.rs
+++ b/lib/src/transport/engine_client.rs
@@ -69,23 +69,23 @@
         let url = format!("http://{}/v1/completions", start.addr);
         let response = self.post(&url, start).await?;
         let mut events = response.bytes_stream().eventsource();
-        let mut piece: Option<PendingPiece> = None;
+        let mut pieces = Pieces::default();
         loop {
             // What has already arrived is joined; only then is the core told.
             let next = match futures_util::poll!(events.next()) {
                 std::task::Poll::Ready(next) => next,
                 std::task::Poll::Pending => {
-                    self.flush(start, &mut piece).await;
+                    self.flush(start, &mut pieces).await;
                     let waited = tokio::time::timeout(self.idle, events.next()).await;
                     waited.map_err(|_| EngineSignal::Lost { refused: false })?
                 }
             };
             let Some(Ok(event)) = next else {
-                self.flush(start, &mut piece).await;
+                self.flush(start, &mut pieces).await;
                 return Err(EngineSignal::Lost { refused: false });
             };
             if event.data == "[DONE]" {
-                self.flush(start, &mut piece).await;
+                self.flush(start, &mut pieces).await;
                 return Ok(());
             }
             let Ok(event) = serde_json::from_str::<StreamEvent>(&event.data) else { continue };
@@ -93,33 +93,32 @@
                 // A crossed event is of another attempt and is never passed on.
                 continue;
             }
-            self.take(start, &mut piece, event.into()).await;
+            self.take(start, &mut pieces, event.into()).await;
         }
     }
 
-    /// Joins a piece to the pending one if it follows it, and reports anything else at once.
-    async fn take(
-        &self,
-        start: &StreamStart,
-        piece: &mut Option<PendingPiece>,
-        signal: EngineSignal,
-    ) {
+    /// Joins a piece to the pending ones if it follows them, and reports anything else at once.
+    ///
+    /// A repeated piece is reported by itself: joined with the next one it would look like neither.
+    async fn take(&self, start: &StreamStart, pieces: &mut Pieces, signal: EngineSignal) {
         let EngineSignal::Piece { offset, tokens, text } = signal else {
-            self.flush(start, piece).await;
+            self.flush(start, pieces).await;
             self.report(start, signal).await;
             return;
         };
-        match piece {
-            Some(pending) if pending.follows(offset) => pending.join(tokens, &text),
-            _ => {
-                self.flush(start, piece).await;
-                *piece = Some(PendingPiece { offset, tokens, text });
-            }
+        if pieces.take_next(offset, tokens, &text) {
+            return;
+        }
+        self.flush(start, pieces).await;
+        if offset < pieces.reach {
+            self.report(start, EngineSignal::Piece { offset, tokens, text }).await;
+        } else {
+            pieces.hold(PendingPiece { offset, tokens, text });
         }
     }
 
-    async fn flush(&self, start: &StreamStart, piece: &mut Option<PendingPiece>) {
-        let Some(PendingPiece { offset, tokens, text }) = piece.take() else { return };
+    async fn flush(&self, start: &StreamStart, pieces: &mut Pieces) {
+        let Some(PendingPiece { offset, tokens, text }) = pieces.pending.take() else { return };
         self.report(start, EngineSignal::Piece { offset, tokens, text }).await;
     }
 
@@ -202,21 +201,43 @@
     }
 }
 
-/// Pieces of one stream that arrived together and follow each other.
+/// The pieces of one stream that are not reported yet, and how far all that came reaches.
+#[derive(Default)]
+struct Pieces {
+    pending: Option<PendingPiece>,
+    /// The answer tokens up to the end of the furthest piece.
+    reach: u32,
+}
+
+/// Pieces that arrived together and follow each other.
 struct PendingPiece {
     offset: u32,
     tokens: u32,
     text: String,
 }
 
-impl PendingPiece {
-    fn follows(&self, offset: u32) -> bool {
-        self.offset + self.tokens == offset
+impl Pieces {
+    /// Joins a piece to the pending ones; `false` if it does not follow them.
+    fn take_next(&mut self, offset: u32, tokens: u32, text: &str) -> bool {
+        let Some(pending) = self.pending.as_mut().filter(|pending| pending.end() == offset) else {
+            return false;
+        };
+        pending.tokens += tokens;
+        pending.text.push_str(text);
+        self.reach = self.reach.max(pending.end());
+        true
+    }
+
+    /// Holds a piece that begins after all that came.
+    fn hold(&mut self, piece: PendingPiece) {
+        self.reach = piece.end();
+        self.pending = Some(piece);
     }
+}
 
-    fn join(&mut self, tokens: u32, text: &str) {
-        self.tokens += tokens;
-        self.text.push_str(text);
+impl PendingPiece {
+    fn end(&self) -> u32 {
+        self.offset.saturating_add(self.tokens)
     }
 }
 
