--- a/cli/tests/test_whole_path.rs
+++ b/cli/tests/test_whole_path.rs
@@ -198,6 +198,9 @@
     assert_eq!(response.status(), 413);
     let refusal: Value = response.json().await.unwrap();
     assert_eq!(refusal["reason"], "body_too_long");
+    let url = format!("http://{}/v1/completions", fleet.callers()[0]);
+    let long = client().post(url).header("x-long", "x".repeat(20_000)).send().await.unwrap();
+    assert_eq!(long.status(), 431);
     let body = json!({"model": "assist", "prompt": "still here?", "max_tokens": 2});
     assert_eq!(ask(&fleet, 0, body).await.status(), 200, "the daemon goes on");
 }
--- a/lib/src/protocol/caller_api.rs
+++ b/lib/src/protocol/caller_api.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::token::hash_token;
 use crate::coordination::CompletionForm;
 use crate::coordination::Finish;
 use crate::coordination::ResumePoint;
@@ -125,7 +126,7 @@
     /// Returns the hash of the bearer token, if there is one.
     pub fn token_hash(&self) -> Option<[u8; 32]> {
         let token = self.authorization?.strip_prefix("Bearer ")?;
-        Some(*blake3::hash(token.trim().as_bytes()).as_bytes())
+        Some(hash_token(token.trim()))
     }
 
     /// Returns the priority, if one is named.
--- a/lib/src/transport/callers.rs
+++ b/lib/src/transport/callers.rs
@@ -58,6 +58,8 @@
 /// The limits on what one caller and all callers may take.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct CallerLimits {
+    /// The longest head, in bytes.
+    pub(crate) head: usize,
     /// The largest body, in bytes.
     pub(crate) body: usize,
     /// The longest time in which a body must have come.
@@ -143,12 +145,17 @@
     deadline: Option<String>,
     key: Option<String>,
     media: Option<String>,
+    /// The bytes of all names and values.
+    bytes: usize,
 }
 
 impl OwnedHeaders {
     fn of(request: &Request<'_>) -> OwnedHeaders {
         let one = |name: &str| request.headers().get_one(name).map(str::to_owned);
+        let sizes =
+            request.headers().iter().map(|one| one.name().as_str().len() + one.value().len());
         OwnedHeaders {
+            bytes: sizes.sum(),
             authorization: one("authorization"),
             priority: one("x-priority"),
             deadline: one("x-deadline-ms"),
@@ -157,6 +164,16 @@
         }
     }
 
+    /// Refuses a head that is longer than its limit.
+    fn check(&self, limits: CallerLimits) -> Result<(), CallerResponse> {
+        if self.bytes <= limits.head {
+            return Ok(());
+        }
+        let text =
+            format!("the headers have {} bytes: expected at most {}", self.bytes, limits.head);
+        Err(CallerResponse::rejected(431, "headers_too_long", text))
+    }
+
     fn view(&self) -> CallerHeaders<'_> {
         CallerHeaders {
             authorization: self.authorization.as_deref(),
@@ -209,6 +226,9 @@
     state: &Arc<CallerState>,
     shape: AnswerShape,
 ) -> CallerResponse {
+    if let Err(response) = headers.check(state.limits) {
+        return response;
+    }
     let body = match read_body(data, state.limits).await {
         Ok(body) => body,
         Err(response) => return response,
@@ -289,6 +309,9 @@
     state: &Arc<CallerState>,
 ) -> CallerResponse {
     let headers = OwnedHeaders::of(request);
+    if let Err(response) = headers.check(state.limits) {
+        return response;
+    }
     let body = match read_body(data, state.limits).await {
         Ok(body) => body,
         Err(response) => return response,
--- a/lib/src/transport/daemon.rs
+++ b/lib/src/transport/daemon.rs
@@ -174,6 +174,7 @@
         shown: &Arc<Shown>,
     ) -> Result<(), Report<DaemonError>> {
         let limits = CallerLimits {
+            head: settings.bounds.header_bytes,
             body: settings.bounds.body_bytes,
             body_time: settings.bounds.body_timeout,
             requests: settings.bounds.connections,
