testutils: wait until a paused process has stopped

test_process_is_paused_and_stopped failed once in five runs: the process was still healthy just after SIGSTOP, whose sending does not wait for all threads to stop.

--- a/lib/testutils/src/process.rs
+++ b/lib/testutils/src/process.rs
@@ -32,6 +32,9 @@
 /// How long one question for a process's health may take.
 const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long a process may take to stop once it was told to.
+const STOPPED_WITHIN: Duration = Duration::from_secs(5);
+
 /// How many lines of a process's log an error repeats.
 const TOLD_LINES: usize = 12;
 
@@ -159,7 +162,7 @@
         Err(ProcessError::NotHealthy(self.last_lines()))
     }
 
-    /// Sends it a signal.
+    /// Sends it a signal; a pause is waited for until every thread has stopped.
     pub fn signal(&self, signal: Signal) -> io::Result<()> {
         // A process that has ended must not be signalled, for its identifier may be another's.
         if self.exit_status().is_some() {
@@ -169,7 +172,25 @@
             .args(["-s", signal.name(), &self.id.to_string()])
             .stderr(Stdio::null())
             .status()?;
-        if status.success() { Ok(()) } else { Err(io::Error::other("kill failed")) }
+        if !status.success() {
+            return Err(io::Error::other("kill failed"));
+        }
+        match signal {
+            Signal::Stop => self.wait_stopped(),
+            Signal::Term | Signal::Kill | Signal::Continue => Ok(()),
+        }
+    }
+
+    /// Waits until every thread has stopped, since the signal reaches them one after another.
+    fn wait_stopped(&self) -> io::Result<()> {
+        let end = std::time::Instant::now() + STOPPED_WITHIN;
+        while !are_threads_stopped(self.id) {
+            if std::time::Instant::now() >= end {
+                return Err(io::Error::other("the process does not stop"));
+            }
+            thread::sleep(Duration::from_millis(1));
+        }
+        Ok(())
     }
 
     /// Returns how it ended, if it has.
@@ -225,6 +246,17 @@
     addr.ok_or_else(|| io::Error::other("the settings lack `ip` or `caller_port`"))
 }
 
+/// Tells whether all threads of a process are stopped; where the system does not tell, they are
+/// taken to be.
+fn are_threads_stopped(process: u32) -> bool {
+    let Ok(threads) = fs::read_dir(format!("/proc/{process}/task")) else { return true };
+    threads.filter_map(Result::ok).all(|thread| {
+        let stat = fs::read_to_string(thread.path().join("stat")).unwrap_or_default();
+        // The state follows the name, which is in parentheses and may itself have any text.
+        stat.rsplit_once(") ").is_some_and(|(_, rest)| rest.starts_with('T'))
+    })
+}
+
 /// Returns a path of its own for a settings file.
 fn settings_file() -> PathBuf {
     static COUNT: AtomicU64 = AtomicU64::new(0);
