time line: share events with readers and find them by time

A page of 10,000 events copied each one while the core's thread waited for the lock. Events are now shared, the start is found by halving, and the request's id stands beside each event.

peer links: count failed tries to connect, so that operators see them and the test of a host with another name waits for them and not for a time.

--- a/lib/src/protocol/event_wire.rs
+++ b/lib/src/protocol/event_wire.rs
@@ -1,6 +1,7 @@
 //! The JSON form of events and of pages of the time line.
 
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -151,7 +152,7 @@
 
 impl From<&StampedEvent> for StampedJson {
     fn from(stamped: &StampedEvent) -> Self {
-        let event = EventJson::from(&stamped.event);
+        let event = EventJson::from(stamped.event.as_ref());
         StampedJson { at_us: stamped.at.0, host: stamped.host.to_string(), event }
     }
 }
@@ -160,7 +161,7 @@
     type Error = EventJsonError;
 
     fn try_from(json: StampedJson) -> Result<Self, EventJsonError> {
-        let event = json.event.try_into()?;
+        let event = Arc::new(json.event.try_into()?);
         Ok(StampedEvent { at: HybridTime(json.at_us), host: HostName::new(json.host), event })
     }
 }
--- a/lib/src/protocol/why.rs
+++ b/lib/src/protocol/why.rs
@@ -117,7 +117,7 @@
     if events.is_empty() {
         return format!("Nothing is known of request {request}.");
     }
-    let end = events.iter().rev().find_map(|stamped| match &stamped.event {
+    let end = events.iter().rev().find_map(|stamped| match stamped.event.as_ref() {
         Event::Completed { .. } | Event::Refused { .. } => Some(event_sentence(&stamped.event)),
         _ => None,
     });
--- a/lib/src/state/time_line.rs
+++ b/lib/src/state/time_line.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::mem::size_of;
+use std::sync::Arc;
 
 use super::event::Considered;
 use super::event::Event;
@@ -21,8 +22,8 @@
     pub at: HybridTime,
     /// Where it happened.
     pub host: HostName,
-    /// What happened.
-    pub event: Event,
+    /// What happened; shared with the ring, which other threads are waiting for.
+    pub event: Arc<Event>,
 }
 
 /// Which events are asked for.
@@ -38,8 +39,7 @@
 
 impl EventFilter {
     fn takes(&self, entry: &Entry) -> bool {
-        let wanted = self.request.is_none_or(|request| entry.event.request() == Some(request));
-        wanted && entry.at > self.after
+        self.request.is_none_or(|request| entry.request == Some(request))
     }
 }
 
@@ -61,7 +61,9 @@
 #[derive(Debug, Clone)]
 struct Entry {
     at: HybridTime,
-    event: Event,
+    /// Kept beside the event, so that a search need not visit each event's own memory.
+    request: Option<RequestId>,
+    event: Arc<Event>,
 }
 
 /// The ring of events of one process.
@@ -73,7 +75,7 @@
 /// line.push(WallTime(11), Event::StopEnded { cut: 0 });
 /// let page = line.page(&EventFilter::default());
 /// assert_eq!(page.lost, 1);
-/// assert_eq!(page.events[0].event, Event::StopEnded { cut: 0 });
+/// assert_eq!(*page.events[0].event, Event::StopEnded { cut: 0 });
 /// ```
 #[derive(Debug, Clone)]
 pub struct TimeLine {
@@ -104,7 +106,8 @@
     pub fn push(&mut self, wall: WallTime, event: Event) {
         let at = self.clock.tick(wall);
         self.bytes += size_in_memory(&event);
-        self.entries.push_back(Entry { at, event });
+        let request = event.request();
+        self.entries.push_back(Entry { at, request, event: Arc::new(event) });
         while self.entries.len() > self.capacity || self.bytes > self.capacity * EVENT_BYTES {
             if !self.lose_oldest() {
                 break;
@@ -129,12 +132,14 @@
 
     /// Returns the events that fit `filter`.
     pub fn page(&self, filter: &EventFilter) -> TimeLinePage {
-        let fitting = self.entries.iter().filter(|entry| filter.takes(entry)).count();
+        // Entries are in the order of their times.
+        let start = self.entries.partition_point(|entry| entry.at <= filter.after);
+        let fitting = self.entries.range(start..).filter(|entry| filter.takes(entry));
         let left_out = match filter.limit {
             0 => 0,
-            limit => fitting.saturating_sub(limit),
+            limit => fitting.clone().count().saturating_sub(limit),
         };
-        let shown = self.entries.iter().filter(|entry| filter.takes(entry)).skip(left_out);
+        let shown = fitting.skip(left_out);
         let events = shown.map(|entry| StampedEvent {
             at: entry.at,
             host: self.host.clone(),
@@ -186,5 +191,5 @@
         Event::OrderSent { order, .. } => order.len(),
         _ => 0,
     };
-    size_of::<Entry>() + beside
+    size_of::<Entry>() + size_of::<Event>() + beside
 }
--- a/lib/src/transport/metrics.rs
+++ b/lib/src/transport/metrics.rs
@@ -134,6 +134,7 @@
     held: Family<EngineLabel, Gauge>,
     memory: Family<EngineLabel, Gauge>,
     waiting: Family<QueueLabel, Gauge>,
+    failed_connects: Counter,
     drops: Family<CauseLabel, Counter>,
     bytes: Family<LinkLabel, Counter>,
     messages: Family<LinkLabel, Counter>,
@@ -364,6 +365,8 @@
         registry.register("peers", "Peers by their state", self.peers.clone());
         registry.register("drops", "What was shed or dropped, by cause", self.drops.clone());
         registry.register("peer_messages", "Messages between entry hosts", self.messages.clone());
+        let failed = self.failed_connects.clone();
+        registry.register("failed_peer_connects", "Failed tries to connect to peers", failed);
         let age = self.config_age.clone();
         registry.register_with_unit("config_age", "Time in force", Unit::Seconds, age);
         let bytes = self.bytes.clone();
@@ -407,6 +410,8 @@
     fn record_links(&self, links: &PeerCounters, shed: u64) {
         self.record_link("control", &links.control);
         self.record_link("work", &links.work);
+        let failed = links.failed_connects.saturating_sub(self.failed_connects.get());
+        self.failed_connects.inc_by(failed);
         raise(&self.drops, CauseLabel { cause: "core_ring_full" }, shed);
         for drop in &links.drops {
             raise(&self.drops, CauseLabel { cause: drop.cause.as_str() }, drop.count);
--- a/lib/src/transport/peer_links/counters.rs
+++ b/lib/src/transport/peer_links/counters.rs
@@ -145,6 +145,8 @@
     pub control: LinkCounters,
     /// Over the links for work.
     pub work: LinkCounters,
+    /// Tries to connect that failed, also because another host answered than was meant.
+    pub failed_connects: u64,
     /// What was dropped, one entry for each cause.
     pub drops: Vec<DropCount>,
 }
@@ -161,6 +163,7 @@
 pub(super) struct Tally {
     control: LinkTally,
     work: LinkTally,
+    failed_connects: AtomicU64,
     drops: [AtomicU64; DropCause::ALL.len()],
 }
 
@@ -178,6 +181,10 @@
         self.drops[cause as usize].fetch_add(1, Ordering::Relaxed) + 1
     }
 
+    pub(super) fn connect_failed(&self) {
+        self.failed_connects.fetch_add(1, Ordering::Relaxed);
+    }
+
     pub(super) fn received(&self, kind: LinkKind, bytes: usize) {
         let link = self.link(kind);
         link.messages_in.fetch_add(1, Ordering::Relaxed);
@@ -193,7 +200,12 @@
     pub(super) fn read(&self) -> PeerCounters {
         let count = |cause: DropCause| self.drops[cause as usize].load(Ordering::Relaxed);
         let drops = DropCause::ALL.map(|cause| DropCount { cause, count: count(cause) });
-        PeerCounters { control: self.control.read(), work: self.work.read(), drops: drops.into() }
+        PeerCounters {
+            control: self.control.read(),
+            work: self.work.read(),
+            failed_connects: self.failed_connects.load(Ordering::Relaxed),
+            drops: drops.into(),
+        }
     }
 
     fn link(&self, kind: LinkKind) -> &LinkTally {
--- a/lib/src/transport/peer_links/outbound.rs
+++ b/lib/src/transport/peer_links/outbound.rs
@@ -184,6 +184,7 @@
         let (stream, frames) = match self.connect() {
             Ok(connected) => connected,
             Err(error) => {
+                self.shared.tally.connect_failed();
                 debug!(self.shared.log, "no connection to peer";
                     "peer" => %self.peer.host, "addr" => %self.peer.addr,
                     "link" => ?self.kind, "error" => %error);
--- a/lib/tests/test_peer_links.rs
+++ b/lib/tests/test_peer_links.rs
@@ -207,7 +207,7 @@
     let (a, b) = (Host::start("entry-1", KEY), Host::start("entry-2", KEY));
     let meant = PeerAddr { host: HostName::new("entry-9"), addr: b.links.local_addr() };
     a.links.set_peers(std::slice::from_ref(&meant)).expect("threads can be started");
-    std::thread::sleep(Duration::from_millis(300));
+    wait_until("connecting has failed several times", || a.links.counters().failed_connects >= 4);
     assert_eq!(a.links.send(&meant.host, &pull(1)), Err(SendRefused::NotConnected));
     assert_eq!(b.links.counters().control.messages_in, 0);
 }
--- a/lib/tests/test_time_line.rs
+++ b/lib/tests/test_time_line.rs
@@ -77,7 +77,8 @@
 #[test]
 fn every_event_survives_json() {
     for event in samples() {
-        let stamped = StampedEvent { at: HybridTime(5), host: HostName::new("entry-1"), event };
+        let stamped =
+            StampedEvent { at: HybridTime(5), host: HostName::new("entry-1"), event: event.into() };
         let text = serde_json::to_string(&StampedJson::from(&stamped)).unwrap();
         let json: StampedJson = serde_json::from_str(&text).unwrap();
         assert_eq!(StampedEvent::try_from(json), Ok(stamped), "{text}");
@@ -115,7 +116,8 @@
     slow.witness(WallTime(30_000), sent);
     slow.push(WallTime(30_000), completed(2));
     let pages = [&slow, &fast].map(|line| line.page(&EventFilter::default()));
-    let order: Vec<_> = merge_events(pages).iter().map(|event| event.event.clone()).collect();
+    let order: Vec<_> =
+        merge_events(pages).iter().map(|event| event.event.as_ref().clone()).collect();
     assert_eq!(order, [completed(1), completed(2)]);
 }
 
@@ -135,7 +137,7 @@
     let page = line.page(&EventFilter::default());
     assert_eq!((page.lost, page.lost_until), (2, HybridTime(2000)));
     assert_eq!(page.events.len(), 3);
-    assert_eq!(page.events[0].event, completed(3));
+    assert_eq!(*page.events[0].event, completed(3));
 }
 
 #[test]
