--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -4,8 +4,10 @@
 mod demo;
 mod fetch;
 mod hash_token;
+mod measure;
 mod serve;
 mod settings;
+mod stand_ins;
 mod status;
 mod timeline;
 mod why;
@@ -21,8 +23,10 @@
     Check(check::Check),
     Demo(demo::Demo),
     HashToken(hash_token::HashToken),
+    Measure(measure::Measure),
     Serve(serve::Serve),
     Settings(settings::PrintSettings),
+    StandIns(stand_ins::StandIns),
     Status(status::Status),
     Timeline(timeline::Timeline),
     Why(why::Why),
@@ -35,8 +39,10 @@
             Command::Check(command) => command.run(),
             Command::Demo(command) => command.run(),
             Command::HashToken(command) => command.run(),
+            Command::Measure(command) => command.run(),
             Command::Serve(command) => command.run(),
             Command::Settings(command) => command.run(),
+            Command::StandIns(command) => command.run(),
             Command::Status(command) => command.run(),
             Command::Timeline(command) => command.run(),
             Command::Why(command) => command.run(),
