groups: place a long prompt anew when an engine or dispatcher is lost

Now a failed group is placed anew within the retry budget, asks are repeated after a second, and members at an engine seen gone fail at once.

--- a/cli/tests/test_failures_streams.rs
+++ b/cli/tests/test_failures_streams.rs
@@ -146,6 +146,26 @@
     assert!(fleet.wait_idle(FREE_WITHIN).await.is_some(), "memory is still held");
 }
 
+#[test_case(Fault::Kill; "killed")]
+#[test_case(Fault::Freeze; "frozen")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn test_engine_fault_leaves_long_prompts_whole(fault: Fault) {
+    let fleet = start_fleet(ENGINES).await;
+    let mut crowd = Crowd::default();
+    crowd.send(&fleet.callers(), &CrowdAsk { prompt_tokens: 100_000, ..streams(1) });
+    let holder = || {
+        let holds = |engine: &FleetEngine| engine.engine.holdings().iter().any(|held| held.export);
+        fleet.engines.iter().find(|engine| holds(engine))
+    };
+    let exported = wait_until(PATIENCE, async || holder().is_some()).await;
+    assert!(exported.is_some(), "no segment of the long prompt is held");
+    let struck = holder().expect("the segment is held until the answer has ended");
+    fault.strike(&struck.engine);
+    assert_whole(&crowd.finish().await);
+    struck.engine.thaw();
+    assert!(fleet.wait_idle(FREE_WITHIN).await.is_some(), "memory is still held");
+}
+
 /// How an entry host goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Loss {
--- a/lib/src/coordination/node/completions.rs
+++ b/lib/src/coordination/node/completions.rs
@@ -40,7 +40,7 @@
 use crate::state::RequestId;
 
 /// How often an ask is repeated while its dispatcher is silent.
-const ASK_AGAIN: Duration = Duration::from_secs(1);
+pub(super) const ASK_AGAIN: Duration = Duration::from_secs(1);
 
 /// The most engines that one request is tried at.
 const MAX_ATTEMPTS: u32 = 6;
@@ -216,7 +216,7 @@
         engines.map(describe).collect()
     }
 
-    fn engine_takes_work(&self, name: &EngineName) -> bool {
+    pub(super) fn engine_takes_work(&self, name: &EngineName) -> bool {
         let engine = self.list.engines.iter().find(|engine| engine.name == *name);
         engine.is_some_and(|engine| self.takes_work(engine.addr))
     }
@@ -359,6 +359,7 @@
 
     /// Repeats asks that may have been lost, and asks anew where the dispatcher has changed.
     pub(super) fn repeat_asks(&mut self, now: Moment) {
+        self.repeat_segment_asks(now);
         let waiting = self.running.iter().filter_map(|running| match &running.phase {
             Phase::Asking(asking) if now.since(asking.asked) >= ASK_AGAIN => {
                 Some((running.completion.id, asking.engine.clone()))
--- a/lib/src/coordination/node/engine_signals.rs
+++ b/lib/src/coordination/node/engine_signals.rs
@@ -168,7 +168,7 @@
     }
 
     /// Tries a request again if the fleet's budget for retries allows that.
-    fn retry(&mut self, now: Moment, id: RequestId) {
+    pub(super) fn retry(&mut self, now: Moment, id: RequestId) {
         // The attempt is over, so that ending the request must not give it back a second time.
         if let Some(running) = self.running.get_mut(id) {
             let idle = super::running::Asking {
@@ -206,6 +206,7 @@
     /// Those that it answers are given up by their own silence, since the fault may lie between it
     /// and its dispatcher.
     pub(super) fn leave_engine(&mut self, now: Moment, addr: SocketAddr) {
+        self.fail_members_at(now, addr);
         let lost = self.running.iter().filter_map(|running| match &running.phase {
             Phase::Streaming(streaming)
                 if streaming.addr == addr && streaming.flowing.is_none() =>
--- a/lib/src/coordination/node/groups.rs
+++ b/lib/src/coordination/node/groups.rs
@@ -1,9 +1,11 @@
 //! Prompts over one engine's memory: carries out what the group's state machine wants done.
 
+use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::Arc;
 
 use super::Node;
+use super::completions::ASK_AGAIN;
 use super::completions::no_text;
 use super::io::EngineSignal;
 use super::io::Finish;
@@ -28,6 +30,7 @@
 use crate::state::Moment;
 use crate::state::Outcome;
 use crate::state::Piece;
+use crate::state::Reason;
 use crate::state::Refusal;
 use crate::state::RequestId;
 use crate::state::SegmentExport;
@@ -54,7 +57,7 @@
         running.attempt += u32::try_from(plans.len()).unwrap_or(u32::MAX);
         let mut group = LongGroup::new(id, first, plans, deadline);
         let actions = group.start();
-        running.phase = Phase::Group(Box::new(GroupPhase { group, stream: None }));
+        running.phase = Phase::Group(Box::new(GroupPhase { group, asked: now, stream: None }));
         self.do_group(now, id, actions);
     }
 
@@ -131,9 +134,26 @@
         let engine = group.attempts().find(|(id, _)| *id == attempt).map(|(_, name)| name.clone());
         let Some(engine) = engine else { return };
         let actions = group.failed(&engine);
+        if let Some(running) = self.running.get_mut(attempt.request) {
+            running.excluded.push(engine);
+        }
         self.do_group(now, attempt.request, actions);
     }
 
+    /// Fails the members of groups that are at an engine which was seen gone.
+    pub(super) fn fail_members_at(&mut self, now: Moment, addr: SocketAddr) {
+        let engines = self.list.engines.iter().filter(|engine| engine.addr == addr);
+        let Some(engine) = engines.map(|engine| engine.name.clone()).next() else { return };
+        let members = self.running.iter().filter_map(|running| match &running.phase {
+            Phase::Group(phase) => phase.group.attempts().find(|(_, name)| **name == engine),
+            Phase::Asking(_) | Phase::Streaming(_) => None,
+        });
+        let members: Vec<AttemptId> = members.map(|(attempt, _)| attempt).collect();
+        for attempt in members {
+            self.fail_member(now, attempt);
+        }
+    }
+
     /// Gives back all that a group has, when its request ends early.
     pub(super) fn withdraw_group(&mut self, now: Moment, id: RequestId) {
         let Some(running) = self.running.get_mut(id) else { return };
@@ -146,7 +166,9 @@
         }
     }
 
-    fn do_group(&mut self, now: Moment, id: RequestId, actions: Vec<GroupAction>) {
+    /// Carries out a group's actions; its end comes last, after all that it had is given back.
+    fn do_group(&mut self, now: Moment, id: RequestId, mut actions: Vec<GroupAction>) {
+        actions.sort_by_key(|action| matches!(action, GroupAction::Refuse(_)));
         for action in actions {
             match action {
                 GroupAction::Ask { attempt, plan } => self.ask_segment(now, attempt, &plan),
@@ -171,15 +193,45 @@
         }
     }
 
-    /// Ends a group's request; one of which any engine has read a part did run.
+    /// Ends a group's request, or places it anew if an engine failed under it.
+    ///
+    /// A request of which any engine has read a part did run.
     fn refuse_group(&mut self, now: Moment, id: RequestId, refusal: Refusal) {
+        if refusal.reason == Reason::TargetFailed {
+            if let Some(running) = self.running.get_mut(id) {
+                running.answer.restart();
+            }
+            self.retry(now, id);
+            return;
+        }
         let ran = self.running.get(id).is_some_and(|running| running.ran);
         let outcome = if ran { Outcome::Failed } else { Outcome::NotRun };
         self.end_refused(now, id, Refusal { outcome, ..refusal });
     }
 
+    /// Repeats the asks of groups that may have been lost with their dispatcher.
+    pub(super) fn repeat_segment_asks(&mut self, now: Moment) {
+        let waiting = self.running.iter().filter_map(|running| match &running.phase {
+            Phase::Group(phase) if now.since(phase.asked) >= ASK_AGAIN => {
+                phase.group.asked().map(|(attempt, plan)| (attempt, plan.clone()))
+            }
+            _ => None,
+        });
+        let waiting: Vec<(AttemptId, SegmentPlan)> = waiting.collect();
+        for (attempt, plan) in waiting {
+            if self.engine_takes_work(&plan.engine) {
+                self.ask_segment(now, attempt, &plan);
+            } else {
+                self.fail_member(now, attempt);
+            }
+        }
+    }
+
     fn ask_segment(&mut self, now: Moment, attempt: AttemptId, plan: &SegmentPlan) {
-        let Some(running) = self.running.get(attempt.request) else { return };
+        let Some(running) = self.running.get_mut(attempt.request) else { return };
+        if let Phase::Group(phase) = &mut running.phase {
+            phase.asked = now;
+        }
         let completion = &running.completion;
         let weight = self.rules.customers.get(&completion.customer).map_or(1, |rule| rule.weight);
         let ask = Ask {
@@ -217,6 +269,10 @@
         };
         let owner = self.incarnation;
         let Some(running) = self.running.get_mut(attempt.request) else { return };
+        let (resume_from, answered) = match last {
+            true => (running.answer.sent(), running.answered()),
+            false => (0, no_text()),
+        };
         let completion = &running.completion;
         let text = completion.prompt.text.clone();
         let range = segment_range(&text, start, plan.tokens, last);
@@ -231,8 +287,8 @@
             options: completion.options.clone(),
             max_output: completion.max_output,
             priority: super::completions::engine_priority(completion),
-            resume_from: completion.resume_from,
-            answered: no_text(),
+            resume_from,
+            answered,
             segments,
             prefill_only: !last,
             left: completion.deadline.since(now),
@@ -251,7 +307,7 @@
         self.emit(Output::StartStream(Box::new(stream)));
     }
 
-    fn engine_addr(&self, engine: &EngineName) -> Option<std::net::SocketAddr> {
+    fn engine_addr(&self, engine: &EngineName) -> Option<SocketAddr> {
         let engine = self.list.engines.iter().find(|listed| listed.name == *engine)?;
         Some(engine.addr)
     }
--- a/lib/src/coordination/node/running.rs
+++ b/lib/src/coordination/node/running.rs
@@ -80,6 +80,8 @@
 pub(super) struct GroupPhase {
     /// The segments and how far they are.
     pub(super) group: LongGroup,
+    /// When leave for a segment was last asked for.
+    pub(super) asked: Moment,
     /// Where the last segment's answer comes from, once it is asked for.
     pub(super) stream: Option<Streaming>,
 }
--- a/lib/src/state/long_group.rs
+++ b/lib/src/state/long_group.rs
@@ -139,6 +139,12 @@
         self.segments.iter().map(|segment| (segment.attempt, &segment.plan.engine))
     }
 
+    /// Returns the member whose dispatcher has been asked and has not answered.
+    pub fn asked(&self) -> Option<(AttemptId, &SegmentPlan)> {
+        let asked = self.segments.iter().find(|segment| segment.member == Member::Asked);
+        asked.map(|segment| (segment.attempt, &segment.plan))
+    }
+
     /// Takes a dispatcher's grant; a grant that nobody waits for any more is taken back by the caller.
     pub fn granted(&mut self, attempt: AttemptId) -> Vec<GroupAction> {
         let Some(segment) = self.segment_in(attempt, &Member::Asked) else { return Vec::new() };
--- a/lib/testutils/src/load/crowd.rs
+++ b/lib/testutils/src/load/crowd.rs
@@ -5,6 +5,7 @@
 
 use reqwest::Client;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use crate::load::CompletionAsk;
 use crate::load::CompletionEnd;
@@ -13,6 +14,12 @@
 use crate::load::Refused;
 use crate::load::ask_completion;
 
+/// The reasons of refusals that pass: the entry host stops, or the engines' memory is taken.
+const PASSING_REASONS: [&str; 2] = ["stopping", "memory_full"];
+
+/// The pause before a caller comes back.
+const RETURN_PAUSE: Duration = Duration::from_millis(200);
+
 /// Callers whose streams run at the same time.
 #[derive(Debug, Default)]
 pub struct Crowd {
@@ -49,7 +56,7 @@
                 deadline: ask.deadline,
             };
             let (client, hosts) = (self.client.clone(), hosts.to_vec());
-            self.tasks.spawn(async move { ask_through_stops(&client, &hosts, first, &ask).await });
+            self.tasks.spawn(async move { ask_until_taken(&client, &hosts, first, &ask).await });
         }
     }
 
@@ -59,24 +66,27 @@
     }
 }
 
-/// Asks as `ask_completion` does, and goes to the next entry host if one says that it is stopping.
-async fn ask_through_stops(
+/// Asks as `ask_completion` does, and goes to the next entry host when told to come back.
+async fn ask_until_taken(
     client: &Client,
     hosts: &[SocketAddr],
     first: usize,
     ask: &CompletionAsk,
 ) -> CompletionStory {
+    let start = Instant::now();
     let mut tried = 0;
     loop {
         let story = ask_completion(client, hosts, first + tried, ask).await;
         tried += 1;
-        if tried >= hosts.len() || !is_stopping(&story.end) {
+        if start.elapsed() >= ask.deadline || !is_to_come_back(&story.end) {
             return story;
         }
+        tokio::time::sleep(RETURN_PAUSE).await;
     }
 }
 
-fn is_stopping(end: &CompletionEnd) -> bool {
-    let stopping = Refused { outcome: "not_run".to_owned(), reason: "stopping".to_owned() };
-    *end == CompletionEnd::Refused(stopping)
+/// Tells whether a request was not run and is taken elsewhere or a little later.
+fn is_to_come_back(end: &CompletionEnd) -> bool {
+    let CompletionEnd::Refused(Refused { outcome, reason }) = end else { return false };
+    outcome == "not_run" && PASSING_REASONS.contains(&reason.as_str())
 }
