--- a/lib/src/state/placement_estimate.rs
+++ b/lib/src/state/placement_estimate.rs
@@ -30,6 +30,9 @@
 /// The placements remembered for one engine between two of its reports.
 const PLACED_MAX: usize = 256;
 
+/// The weight of the time by which a longer prompt is held up.
+const HELD_UP_FACTOR: f64 = 1.0;
+
 /// The prefixes that one entry host remembers to have placed.
 const PREFIXES_MAX: usize = 65_536;
 
@@ -144,7 +147,13 @@
         let last = if settings.length_isolation { level.index() } else { LEVELS - 1 };
         let queue = self.queue(now, ..=last, settings);
         let time = Duration::from_secs_f64((queue + f64::from(read)) / rate);
-        if self.queue(now, last + 1.., settings) > 0.0 { time + BESIDE_LONGER } else { time }
+        if self.queue(now, last + 1.., settings) == 0.0 {
+            return time;
+        }
+        // A longer prompt that is being read is held up by as much as this one takes, which counts
+        // once a prompt takes long.
+        let held_up = if level.is_long() { f64::from(read) / rate } else { 0.0 };
+        time + BESIDE_LONGER + Duration::from_secs_f64(held_up * HELD_UP_FACTOR)
     }
 
     /// Returns the tokens of the given levels that are not read yet.
