node: tell why requests move, since when targets are avoided, and use cache events and pressure

Cause: a move had no reason of its own; status had no time of suspicion; sightings and asks of a replaced incarnation stayed; fair shares and cache events were built and not used. Change: MoveCause in events, log and why; since in status; a replaced or suspected process's asks and sightings are dropped; each poll brings cache events; heartbeats bring the fleet's pressure.

--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -157,12 +157,20 @@
     table
 }
 
+/// Returns which host avoids a target, and for how long.
+fn avoided(host: &str, target: &TargetJson) -> String {
+    match target.since_ms {
+        Some(since) => format!("{host} for {}", span(since)),
+        None => host.to_owned(),
+    }
+}
+
 fn target_row(views: &[(&str, &TargetJson)]) -> Vec<String> {
     let any = views[0].1;
     let load = views.iter().find_map(|(_, target)| target.load.as_ref());
     let number = |figure: Option<u32>| figure.map_or("-".to_owned(), |figure| figure.to_string());
-    let avoiding = views.iter().filter(|(_, target)| !target.takes_work).map(|(host, _)| *host);
-    let avoiding: Vec<_> = avoiding.collect();
+    let avoiding = views.iter().filter(|(_, target)| !target.takes_work);
+    let avoiding: Vec<String> = avoiding.map(|(host, target)| avoided(host, target)).collect();
     let held = load.map(|load| format!("{}/{}", load.held_tokens, load.memory_tokens));
     vec![
         any.name.clone(),
--- a/lib/src/coordination/node/control.rs
+++ b/lib/src/coordination/node/control.rs
@@ -17,8 +17,11 @@
 use crate::coordination::Sender;
 use crate::coordination::ServiceAnswer;
 use crate::coordination::TargetHealth;
+use crate::state::EngineLoad;
 use crate::state::Event;
+use crate::state::FleetPressure;
 use crate::state::HostName;
+use crate::state::Incarnation;
 use crate::state::LiveList;
 use crate::state::Moment;
 use crate::state::Now;
@@ -33,6 +36,9 @@
 /// The longest wait after failed reads of the live list.
 const READ_PAUSE_MAX: Duration = Duration::from_secs(8);
 
+/// The fleet is full when its engines have more than this long to read.
+const FULL_AFTER: Duration = Duration::from_secs(4);
+
 /// The time between two questions to the settings' peers while no live list is known.
 const SEED_PAUSE: Duration = Duration::from_millis(500);
 
@@ -108,18 +114,47 @@
     fn on_member_event(&mut self, now: Moment, event: Event) {
         if let Event::PeerSuspected { peer } = &event {
             self.limits.peer_gone(peer);
+            let known = self.members.peer(peer).and_then(|peer| peer.incarnation);
+            if let Some(incarnation) = known {
+                self.drop_owner(now, incarnation);
+            }
         }
         self.note(event);
         self.refresh_dispatch(now);
     }
 
+    fn learn_load(&mut self, now: Moment, load: EngineLoad) {
+        self.loads.insert(load.engine.clone(), load.clone());
+        self.placer.report(now, load);
+    }
+
+    /// Returns whether the engines have more to read than they can soon, and what they do together.
+    fn fleet_pressure(&self) -> FleetPressure {
+        let waiting =
+            |load: &EngineLoad| f64::from(load.short_tokens) + f64::from(load.long_tokens);
+        let live = || self.loads.values().filter(|load| load.healthy);
+        let capacity: f64 = live().map(|load| f64::from(load.prefill_rate)).sum();
+        let queued: f64 = live().map(waiting).sum();
+        FleetPressure { full: queued > capacity * FULL_AFTER.as_secs_f64(), capacity }
+    }
+
+    /// Drops what a process that is gone asked this host's queues for.
+    ///
+    /// One that is only cut off asks again once it is heard.
+    fn drop_owner(&mut self, now: Moment, owner: Incarnation) {
+        for owned in self.dispatch.engines.values_mut() {
+            owned.queue.owner_gone(now, owner);
+        }
+    }
+
     /// Reports to every peer.
     fn heartbeat(&mut self, now: Now) {
         self.control.beat += 1;
         let loads = self.loads();
         for load in &loads {
-            self.placer.report(now.mono, load.clone());
+            self.learn_load(now.mono, load.clone());
         }
+        self.limits.set_pressure(self.fleet_pressure());
         let beat = Heartbeat {
             beat: self.control.beat,
             clock: now.wall.0,
@@ -193,11 +228,17 @@
         if let Some(event) = event {
             self.on_member_event(now.mono, event);
         }
+        if let Some(old) = known.and_then(|(_, incarnation)| incarnation)
+            && old != envelope.incarnation
+        {
+            self.targets.on_new_incarnation(from);
+            self.drop_owner(now.mono, old);
+        }
         if stopping != beat.stopping {
             self.refresh_dispatch(now.mono);
         }
         for load in &beat.engines {
-            self.placer.report(now.mono, load.clone());
+            self.learn_load(now.mono, load.clone());
         }
         self.limits.peer_use(now.mono, from, &beat.usage);
         self.on_target_seen(now.mono, from, &beat.targets);
@@ -348,6 +389,7 @@
             .filter(|engine| !list.engines.iter().any(|listed| listed.name == engine.name))
         {
             self.placer.forget(&gone.name);
+            self.loads.remove(&gone.name);
         }
         self.members.set_hosts(now.mono, &list);
         self.targets.set_list(&list);
--- a/lib/src/coordination/node/dispatch.rs
+++ b/lib/src/coordination/node/dispatch.rs
@@ -39,6 +39,8 @@
     poll_at: Moment,
     polling: bool,
     silent: u32,
+    /// The number of the last cache event.
+    cache_after: u64,
     /// Since when an attempt has had an owner that is not alive.
     orphans: BTreeMap<AttemptId, Moment>,
 }
@@ -58,6 +60,7 @@
             poll_at: now,
             polling: false,
             silent: 0,
+            cache_after: 0,
             orphans: BTreeMap::new(),
         }
     }
@@ -109,7 +112,8 @@
             }
             owned.polling = true;
             owned.poll_at = now + every;
-            self.out.push(Output::PollEngine { engine: name.clone(), addr: owned.addr });
+            let (engine, addr, cache_after) = (name.clone(), owned.addr, owned.cache_after);
+            self.out.push(Output::PollEngine { engine, addr, cache_after });
         }
     }
 
@@ -122,6 +126,10 @@
         let healthy = owned.silent < SILENT_POLLS && !poll.refused;
         owned.queue.set_healthy(healthy);
         let addr = owned.addr;
+        owned.queue.cache_events(now, &poll.cache);
+        if let Some(last) = poll.cache.last() {
+            owned.cache_after = last.seq;
+        }
         let mut leaving = false;
         if let Some(facts) = poll.facts {
             let models = facts.report.models.iter().map(|loaded| loaded.model.clone()).collect();
--- a/lib/src/coordination/node/engine_signals.rs
+++ b/lib/src/coordination/node/engine_signals.rs
@@ -19,6 +19,7 @@
 use crate::state::Finished;
 use crate::state::FirstToken;
 use crate::state::Moment;
+use crate::state::MoveCause;
 use crate::state::Piece;
 use crate::state::Reason;
 use crate::state::RequestId;
@@ -47,7 +48,7 @@
             EngineSignal::Piece { offset, tokens, text } => {
                 let piece = Piece { offset, tokens, text };
                 if !self.pass_piece(now, attempt, piece) {
-                    self.move_on(now, attempt, &streaming, true);
+                    self.move_on(now, attempt, &streaming, MoveCause::StreamBroken);
                 }
             }
             EngineSignal::Done { finish, tokens } => {
@@ -55,11 +56,13 @@
             }
             EngineSignal::Refused(word) => self.on_refused(now, attempt, &streaming, word),
             EngineSignal::Lost { refused } => {
-                if refused {
-                    self.unmark_ran(attempt, &streaming);
-                    self.see_target(now, streaming.addr, None);
+                if !refused {
+                    self.move_on(now, attempt, &streaming, MoveCause::ConnectionLost);
+                    return;
                 }
-                self.move_on(now, attempt, &streaming, true);
+                self.unmark_ran(attempt, &streaming);
+                self.see_target(now, streaming.addr, None);
+                self.move_on(now, attempt, &streaming, MoveCause::ConnectionRefused);
             }
             EngineSignal::Exported { .. } => {}
         }
@@ -120,7 +123,7 @@
     ) {
         let Some(running) = self.running.get(attempt.request) else { return };
         if running.answer.finish(tokens).is_err() {
-            self.move_on(now, attempt, streaming, true);
+            self.move_on(now, attempt, streaming, MoveCause::StreamBroken);
             return;
         }
         self.finish_attempt(now, attempt, streaming, tokens, false);
@@ -139,7 +142,7 @@
         if word == EngineWord::Leaving {
             self.see_target(now, streaming.addr, Some(TargetState::Leaving));
         }
-        self.move_on(now, attempt, streaming, false);
+        self.move_on(now, attempt, streaming, MoveCause::EngineRefused);
     }
 
     /// Notes that an attempt did not run, because its engine refused it or was never reached.
@@ -151,10 +154,16 @@
 
     /// Gives an attempt up and places the request anew, to go on after the last token passed on.
     ///
-    /// `held` tells whether the engine may still hold something of the attempt.
-    fn move_on(&mut self, now: Moment, attempt: AttemptId, streaming: &Streaming, held: bool) {
+    /// Unless the engine refused the attempt, it may still hold something of it.
+    fn move_on(
+        &mut self,
+        now: Moment,
+        attempt: AttemptId,
+        streaming: &Streaming,
+        cause: MoveCause,
+    ) {
         let id = attempt.request;
-        if held {
+        if cause != MoveCause::EngineRefused {
             self.emit(Output::CancelStream { attempt, addr: streaming.addr });
         }
         let Some(running) = self.running.get_mut(id) else { return };
@@ -163,7 +172,7 @@
         let sent_tokens = running.answer.sent();
         self.finish_attempt(now, attempt, streaming, sent_tokens, true);
         let engine = streaming.engine.clone();
-        self.note(Event::Moved { attempt, engine, sent_tokens });
+        self.note(Event::Moved { attempt, engine, sent_tokens, cause });
         self.retry(now, id);
     }
 
@@ -197,7 +206,7 @@
         });
         let silent: Vec<(AttemptId, Streaming)> = silent.collect();
         for (attempt, streaming) in silent {
-            self.move_on(now, attempt, &streaming, true);
+            self.move_on(now, attempt, &streaming, MoveCause::Silent);
         }
     }
 
@@ -217,7 +226,7 @@
         });
         let lost: Vec<(AttemptId, Streaming)> = lost.collect();
         for (attempt, streaming) in lost {
-            self.move_on(now, attempt, &streaming, true);
+            self.move_on(now, attempt, &streaming, MoveCause::EngineGone);
         }
     }
 
--- a/lib/src/coordination/node/io.rs
+++ b/lib/src/coordination/node/io.rs
@@ -8,6 +8,7 @@
 use crate::coordination::PeerMessage;
 use crate::coordination::ServiceAnswer;
 use crate::state::AttemptId;
+use crate::state::CacheEvent;
 use crate::state::CallKey;
 use crate::state::EngineName;
 use crate::state::EngineReport;
@@ -100,6 +101,8 @@
         engine: EngineName,
         /// Its address.
         addr: SocketAddr,
+        /// The cache events before this number are known.
+        cache_after: u64,
     },
     /// Send a call to a plain service.
     SendCall {
@@ -378,6 +381,8 @@
     pub listing: Option<Vec<ListedAttempt>>,
     /// Its own figures, or `None` if it did not answer.
     pub facts: Option<EngineFacts>,
+    /// What it published of its cache, late and with gaps.
+    pub cache: Vec<CacheEvent>,
     /// Whether the engine refused the connection.
     pub refused: bool,
 }
--- a/lib/src/coordination/node/mod.rs
+++ b/lib/src/coordination/node/mod.rs
@@ -14,6 +14,7 @@
 mod running;
 mod status;
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -35,6 +36,8 @@
 use crate::coordination::Targets;
 use crate::state::CustomerLimits;
 use crate::state::CustomerName;
+use crate::state::EngineLoad;
+use crate::state::EngineName;
 use crate::state::Event;
 use crate::state::HostName;
 use crate::state::Incarnation;
@@ -90,6 +93,8 @@
     homes: Homes,
     control: Control,
     placer: Placer,
+    /// The last report of each engine, by this host or its dispatcher.
+    loads: BTreeMap<EngineName, EngineLoad>,
     limits: CustomerLimits,
     retries: RetryBudget,
     running: RunningTable,
@@ -118,6 +123,7 @@
             homes: Homes::new(host.clone(), incarnation, homes, rng.random(), now),
             control: Control::new(seeds, now.mono),
             placer: Placer::new(PlacerSettings::default(), zone.clone(), rng.random()),
+            loads: BTreeMap::new(),
             limits: CustomerLimits::new(),
             retries: RetryBudget::new(now.mono),
             running: RunningTable::default(),
--- a/lib/src/coordination/node/status.rs
+++ b/lib/src/coordination/node/status.rs
@@ -101,6 +101,8 @@
     pub listed: TargetState,
     /// Whether this host gives it new work.
     pub takes_work: bool,
+    /// For how long that has been so, if it was ever otherwise.
+    pub since: Option<Duration>,
     /// Who dispatches to it, if it is an engine.
     pub dispatcher: Option<HostName>,
     /// Its load, if this host dispatches to it.
@@ -142,7 +144,7 @@
             list: self.list.version,
             open: self.running.len() + self.calls.len(),
             peers: self.peer_status(now.mono),
-            targets: self.target_status(),
+            targets: self.target_status(now.mono),
             shards: self.homes.held_shards(now),
             usage: self.limits.usage(now.mono),
         }
@@ -176,13 +178,14 @@
         peers.collect()
     }
 
-    fn target_status(&self) -> Vec<TargetStatus> {
+    fn target_status(&self, now: Moment) -> Vec<TargetStatus> {
         let engines = self.list.engines.iter().map(|engine| TargetStatus {
             name: engine.name.to_string(),
             zone: engine.zone.clone(),
             addr: engine.addr,
             listed: engine.state,
             takes_work: self.takes_work(engine.addr),
+            since: self.target_since(now, engine.addr),
             dispatcher: self.members.dispatcher_of(&engine.name, &engine.zone),
             load: self.load_of(&engine.name),
         });
@@ -192,12 +195,18 @@
             addr: host.addr,
             listed: host.state,
             takes_work: self.takes_work(host.addr),
+            since: self.target_since(now, host.addr),
             dispatcher: None,
             load: None,
         });
         engines.chain(services).collect()
     }
 
+    fn target_since(&self, now: Moment, addr: SocketAddr) -> Option<Duration> {
+        let since = self.targets.since(&addr.to_string())?;
+        Some(now.since(since))
+    }
+
     fn load_of(&self, engine: &EngineName) -> Option<EngineLoad> {
         self.dispatch.engines.get(engine).map(|owned| owned.queue.load())
     }
--- a/lib/src/coordination/targets.rs
+++ b/lib/src/coordination/targets.rs
@@ -63,6 +63,8 @@
     sightings: BTreeMap<HostName, Sighting>,
     /// What was last told in an event.
     told: TargetHealth,
+    /// When that began, if it was ever otherwise.
+    since: Option<Moment>,
 }
 
 /// The targets as one entry host judges them.
@@ -162,6 +164,11 @@
             .map_or(TargetHealth::Unlisted, |target| target.health(now, &self.host, &over))
     }
 
+    /// Returns since when a target's health has been what it is, if it was ever otherwise.
+    pub fn since(&self, target: &str) -> Option<Moment> {
+        self.targets.get(target)?.since
+    }
+
     /// Returns every listed target with its health, in the list's order.
     pub fn all(&self, now: Moment) -> impl Iterator<Item = (&str, TargetHealth)> {
         let over = self.over_share(now);
@@ -177,6 +184,7 @@
             let health = target.health(now, &self.host, &over);
             if health != target.told {
                 target.told = health;
+                target.since = Some(now);
                 let state = health.as_str().to_owned();
                 events.push(Event::TargetChanged { target: name.clone(), state });
             }
@@ -228,7 +236,7 @@
             TargetState::Live => TargetHealth::Live,
             TargetState::Leaving => TargetHealth::Leaving,
         };
-        Target { listed, sightings: BTreeMap::new(), told }
+        Target { listed, sightings: BTreeMap::new(), told, since: None }
     }
 
     fn health(&self, now: Moment, own: &HostName, over: &[HostName]) -> TargetHealth {
--- a/lib/src/protocol/engine_api.rs
+++ b/lib/src/protocol/engine_api.rs
@@ -9,6 +9,8 @@
 use crate::coordination::EngineSignal;
 use crate::coordination::Finish;
 use crate::coordination::Segment;
+use crate::state::CacheChange;
+use crate::state::CacheEvent;
 use crate::state::EngineReport;
 use crate::state::EngineRole;
 use crate::state::Incarnation;
@@ -16,6 +18,7 @@
 use crate::state::LoadedModel;
 use crate::state::ModelName;
 use crate::state::ParseRequestIdError;
+use crate::state::PrefixHash;
 
 /// The body of `POST /v1/completions` and `POST /v1/prefill` at an engine.
 #[derive(Debug, Clone, Serialize)]
@@ -233,3 +236,40 @@
         }
     }
 }
+
+/// The answer of `GET /v1/cache-events`.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub struct CacheReply {
+    /// The events after the number that was asked for, oldest first.
+    pub events: Vec<CacheEventJson>,
+}
+
+/// One event of an engine's prefix cache.
+#[derive(Debug, Clone, Deserialize)]
+pub struct CacheEventJson {
+    /// The engine's number of the event.
+    pub seq: u64,
+    /// `stored` or `evicted`.
+    pub kind: String,
+    /// The block's hash, 16 hex digits.
+    pub hash: String,
+}
+
+impl CacheReply {
+    /// Returns the events that can be understood.
+    pub fn known(&self) -> Vec<CacheEvent> {
+        self.events.iter().filter_map(CacheEventJson::known).collect()
+    }
+}
+
+impl CacheEventJson {
+    fn known(&self) -> Option<CacheEvent> {
+        let change = match self.kind.as_str() {
+            "stored" => CacheChange::Stored,
+            "evicted" => CacheChange::Evicted,
+            _ => return None,
+        };
+        let hash = PrefixHash(u64::from_str_radix(&self.hash, 16).ok()?);
+        Some(CacheEvent { seq: self.seq, change, hash })
+    }
+}
--- a/lib/src/protocol/event_text.rs
+++ b/lib/src/protocol/event_text.rs
@@ -6,6 +6,7 @@
 use crate::state::Event;
 use crate::state::HybridTime;
 use crate::state::LeftOut;
+use crate::state::MoveCause;
 
 /// How many engines a sentence names beside the chosen one.
 const MAX_NAMED: usize = 6;
@@ -73,8 +74,9 @@
         Event::FirstToken { engine, after, .. } => {
             format!("The first token came from {engine} after {}.", span_text(*after))
         }
-        Event::Moved { engine, sent_tokens, .. } => {
-            format!("Moved away from {engine} after {sent_tokens} tokens had gone out.")
+        Event::Moved { engine, sent_tokens, cause, .. } => {
+            let cause = cause_text(*cause);
+            format!("Moved away from {engine} after {sent_tokens} tokens had gone out: {cause}.")
         }
         Event::Completed { tokens, after, .. } => {
             format!("The whole answer of {tokens} tokens went out after {}.", span_text(*after))
@@ -156,3 +158,15 @@
         LeftOut::StaleReport => "its report is too old",
     }
 }
+
+/// Returns why a request moved, as the end of a sentence.
+fn cause_text(cause: MoveCause) -> &'static str {
+    match cause {
+        MoveCause::EngineRefused => "the engine refused it",
+        MoveCause::ConnectionRefused => "the engine refused the connection",
+        MoveCause::ConnectionLost => "the connection broke off",
+        MoveCause::StreamBroken => "the stream missed a part of the answer",
+        MoveCause::Silent => "the engine said nothing for too long",
+        MoveCause::EngineGone => "the engine was seen gone",
+    }
+}
--- a/lib/src/protocol/event_wire.rs
+++ b/lib/src/protocol/event_wire.rs
@@ -14,6 +14,7 @@
 use crate::state::HostName;
 use crate::state::HybridTime;
 use crate::state::LeftOut;
+use crate::state::MoveCause;
 use crate::state::Outcome;
 use crate::state::Reason;
 use crate::state::Refusal;
@@ -81,7 +82,7 @@
     Granted { attempt: String, engine: String, queued_us: u64 },
     Denied { attempt: String, engine: String, reason: String },
     FirstToken { attempt: String, engine: String, after_us: u64 },
-    Moved { attempt: String, engine: String, sent_tokens: u32 },
+    Moved { attempt: String, engine: String, sent_tokens: u32, cause: MoveCauseJson },
     Completed { request: String, tokens: u32, after_us: u64 },
     Refused { request: String, outcome: String, reason: String, retry_us: Option<u64> },
     CallSent { request: String, target: String },
@@ -199,10 +200,11 @@
                 engine: engine.to_string(),
                 after_us: micros(*after),
             },
-            Event::Moved { attempt, engine, sent_tokens } => EventJson::Moved {
+            Event::Moved { attempt, engine, sent_tokens, cause } => EventJson::Moved {
                 attempt: attempt.to_string(),
                 engine: engine.to_string(),
                 sent_tokens: *sent_tokens,
+                cause: (*cause).into(),
             },
             Event::Completed { request, tokens, after } => EventJson::Completed {
                 request: request.to_string(),
@@ -282,10 +284,11 @@
                 engine: EngineName::new(engine),
                 after: span(after_us),
             },
-            EventJson::Moved { attempt, engine, sent_tokens } => Event::Moved {
+            EventJson::Moved { attempt, engine, sent_tokens, cause } => Event::Moved {
                 attempt: attempt_id(&attempt)?,
                 engine: EngineName::new(engine),
                 sent_tokens,
+                cause: cause.into(),
             },
             EventJson::Completed { request, tokens, after_us } => {
                 Event::Completed { request: request_id(&request)?, tokens, after: span(after_us) }
@@ -346,6 +349,44 @@
     }
 }
 
+/// Why a request moved away from its engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MoveCauseJson {
+    EngineRefused,
+    ConnectionRefused,
+    ConnectionLost,
+    StreamBroken,
+    Silent,
+    EngineGone,
+}
+
+impl From<MoveCause> for MoveCauseJson {
+    fn from(cause: MoveCause) -> Self {
+        match cause {
+            MoveCause::EngineRefused => MoveCauseJson::EngineRefused,
+            MoveCause::ConnectionRefused => MoveCauseJson::ConnectionRefused,
+            MoveCause::ConnectionLost => MoveCauseJson::ConnectionLost,
+            MoveCause::StreamBroken => MoveCauseJson::StreamBroken,
+            MoveCause::Silent => MoveCauseJson::Silent,
+            MoveCause::EngineGone => MoveCauseJson::EngineGone,
+        }
+    }
+}
+
+impl From<MoveCauseJson> for MoveCause {
+    fn from(json: MoveCauseJson) -> Self {
+        match json {
+            MoveCauseJson::EngineRefused => MoveCause::EngineRefused,
+            MoveCauseJson::ConnectionRefused => MoveCause::ConnectionRefused,
+            MoveCauseJson::ConnectionLost => MoveCause::ConnectionLost,
+            MoveCauseJson::StreamBroken => MoveCause::StreamBroken,
+            MoveCauseJson::Silent => MoveCause::Silent,
+            MoveCauseJson::EngineGone => MoveCause::EngineGone,
+        }
+    }
+}
+
 impl From<LeftOut> for LeftOutJson {
     fn from(why: LeftOut) -> Self {
         match why {
--- a/lib/src/protocol/operator_api.rs
+++ b/lib/src/protocol/operator_api.rs
@@ -123,6 +123,8 @@
     pub listed: String,
     /// Whether this host gives it new work.
     pub takes_work: bool,
+    /// For how long that has been so, if it was ever otherwise.
+    pub since_ms: Option<u64>,
     /// Who dispatches to it, if it is an engine.
     pub dispatcher: Option<String>,
     /// Its load, if this host dispatches to it.
@@ -256,6 +258,7 @@
             addr: target.addr.to_string(),
             listed: listed.to_owned(),
             takes_work: target.takes_work,
+            since_ms: target.since.map(millis),
             dispatcher: target.dispatcher.as_ref().map(|host| host.to_string()),
             load: target.load.as_ref().map(LoadJson::from),
         }
--- a/lib/src/state/event.rs
+++ b/lib/src/state/event.rs
@@ -34,6 +34,23 @@
     StaleReport,
 }
 
+/// Why a request moved away from its engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum MoveCause {
+    /// The engine refused the attempt.
+    EngineRefused,
+    /// The engine refused the connection.
+    ConnectionRefused,
+    /// The connection broke off.
+    ConnectionLost,
+    /// The stream missed pieces, or ended before the answer was whole.
+    StreamBroken,
+    /// The engine said nothing for too long.
+    Silent,
+    /// The engine was seen gone before it began to answer.
+    EngineGone,
+}
+
 /// Something that happened in one process.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
@@ -50,7 +67,7 @@
     /// The first token of an attempt arrived.
     FirstToken { attempt: AttemptId, engine: EngineName, after: Duration },
     /// An attempt ended before its answer was whole and the request moves on.
-    Moved { attempt: AttemptId, engine: EngineName, sent_tokens: u32 },
+    Moved { attempt: AttemptId, engine: EngineName, sent_tokens: u32, cause: MoveCause },
     /// The whole answer went out.
     Completed { request: RequestId, tokens: u32, after: Duration },
     /// The request was refused or failed.
--- a/lib/src/transport/core_thread.rs
+++ b/lib/src/transport/core_thread.rs
@@ -221,8 +221,8 @@
                 }
                 runtime.spawn(engines.clone().cancel(attempt, addr));
             }
-            Output::PollEngine { engine, addr } => {
-                runtime.spawn(engines.clone().poll(engine, addr));
+            Output::PollEngine { engine, addr, cache_after } => {
+                runtime.spawn(engines.clone().poll(engine, addr, cache_after));
             }
             Output::SendCall { addr, call, left } => {
                 runtime.spawn(services.clone().call(addr, call, left));
--- a/lib/src/transport/engine_client.rs
+++ b/lib/src/transport/engine_client.rs
@@ -19,6 +19,7 @@
 use crate::coordination::OrderResult;
 use crate::coordination::StreamReport;
 use crate::coordination::StreamStart;
+use crate::protocol::engine_api::CacheReply;
 use crate::protocol::engine_api::EngineRefusal;
 use crate::protocol::engine_api::EngineRequest;
 use crate::protocol::engine_api::ListingReply;
@@ -168,15 +169,20 @@
         }
     }
 
-    /// Reads an engine's listing and load.
-    pub(crate) async fn poll(self, engine: EngineName, addr: SocketAddr) {
-        let listing = self.get::<ListingReply>(addr, "attempts").await;
-        let facts = self.get::<LoadReply>(addr, "load").await;
+    /// Reads an engine's listing, load and newest cache events.
+    pub(crate) async fn poll(self, engine: EngineName, addr: SocketAddr, cache_after: u64) {
+        let cache_path = format!("cache-events?after={cache_after}");
+        let (listing, facts, cache) = tokio::join!(
+            self.get::<ListingReply>(addr, "attempts"),
+            self.get::<LoadReply>(addr, "load"),
+            self.get::<CacheReply>(addr, &cache_path),
+        );
         let refused = matches!(&listing, Err(error) if error.is_connect());
         let poll = EnginePoll {
             engine,
             listing: listing.ok().map(|reply| understood(&reply)),
             facts: facts.ok().map(EngineFacts::from),
+            cache: cache.map(|reply| reply.known()).unwrap_or_default(),
             refused,
         };
         self.core.send(Input::Polled(poll)).await;
--- a/lib/src/transport/event_log.rs
+++ b/lib/src/transport/event_log.rs
@@ -43,9 +43,9 @@
             info!(log, "request refused"; "request" => %request,
                 "outcome" => refusal.outcome.as_str(), "reason" => refusal.reason.as_str());
         }
-        Event::Moved { attempt, engine, sent_tokens } => {
+        Event::Moved { attempt, engine, sent_tokens, cause } => {
             info!(log, "request moved"; "attempt" => %attempt, "engine" => %engine,
-                "sent_tokens" => sent_tokens);
+                "sent_tokens" => sent_tokens, "cause" => format!("{cause:?}"));
         }
         _ => debug!(log, "event"; "event" => format!("{event:?}")),
     }
--- a/lib/tests/test_metrics.rs
+++ b/lib/tests/test_metrics.rs
@@ -29,6 +29,7 @@
         addr: ([127, 0, 0, 1], 9).into(),
         listed: TargetState::Live,
         takes_work: true,
+        since: None,
         dispatcher: Some(host),
         load: Some(EngineLoad {
             engine: engine(engine_name),
--- a/lib/tests/test_time_line.rs
+++ b/lib/tests/test_time_line.rs
@@ -55,7 +55,12 @@
         Event::Granted { attempt: attempt(1), engine: engine("a1"), queued: MS * 40 },
         Event::Denied { attempt: attempt(2), engine: engine("a1"), reason: Reason::MemoryFull },
         Event::FirstToken { attempt: attempt(1), engine: engine("a1"), after: MS * 90 },
-        Event::Moved { attempt: attempt(1), engine: engine("a1"), sent_tokens: 12 },
+        Event::Moved {
+            attempt: attempt(1),
+            engine: engine("a1"),
+            sent_tokens: 12,
+            cause: MoveCause::Silent,
+        },
         completed(1),
         refused(Outcome::Unknown, Reason::KeyTooOld),
         Event::CallSent { request: request(1), target: "127.0.0.1:9".into() },
@@ -198,7 +203,15 @@
         WallTime(1042),
         Event::Granted { attempt: attempt(1), engine: a1.clone(), queued: MS * 40 },
     );
-    own.push(WallTime(1050), Event::Moved { attempt: attempt(1), engine: a1, sent_tokens: 5 });
+    own.push(
+        WallTime(1050),
+        Event::Moved {
+            attempt: attempt(1),
+            engine: a1,
+            sent_tokens: 5,
+            cause: MoveCause::ConnectionLost,
+        },
+    );
     own.push(WallTime(1051), completed(2));
     own.push(WallTime(1060), Event::Granted { attempt: attempt(2), engine: a2, queued: MS });
     own.push(WallTime(1100), completed(1));
@@ -218,7 +231,7 @@
 also possible: a2 (80 ms); left out: a3 (kept free of long prompts).
   00:00:01.002 (+2.0 ms) entry-2: Waits at a1 behind 4000 prompt tokens.
   00:00:01.042 (+42 ms) entry-1: Got leave to start on a1 after 40 ms in its queue.
-  00:00:01.050 (+50 ms) entry-1: Moved away from a1 after 5 tokens had gone out.
+  00:00:01.050 (+50 ms) entry-1: Moved away from a1 after 5 tokens had gone out: the connection broke off.
   00:00:01.060 (+60 ms) entry-1: Got leave to start on a2 after 1.0 ms in its queue.
   00:00:01.100 (+100 ms) entry-1: The whole answer of 3 tokens went out after 1.0 ms.
 ";
