--- a/cli/src/commands/measure/mod.rs
+++ b/cli/src/commands/measure/mod.rs
@@ -59,6 +59,10 @@
 impl Measure {
     /// Runs all replays, prints their tables and writes the files.
     pub(crate) fn run(self) -> Exit {
+        // A directory that cannot be had is better known before the replays than after them.
+        if let Some(Err(error)) = self.out.as_deref().map(fs::create_dir_all) {
+            return self.complain_of_out(&error.to_string());
+        }
         let span = if self.quick { QUICK_SPAN } else { SPAN };
         let scenarios = Scenario::all(span, self.seed);
         let mut runs = Vec::new();
@@ -76,12 +80,15 @@
         let Some(dir) = &self.out else { return printed };
         match write_files(dir, &runs, &off) {
             Ok(()) => printed,
-            Err(error) => {
-                complain(&format!("{}: {error}", dir.display()));
-                Exit::Failure
-            }
+            Err(error) => self.complain_of_out(&error),
         }
     }
+
+    fn complain_of_out(&self, error: &str) -> Exit {
+        let dir = self.out.as_deref().unwrap_or(Path::new("."));
+        complain(&format!("{}: {error}", dir.display()));
+        Exit::Failure
+    }
 }
 
 fn run(scenario: &Scenario, contender: Contender) -> Run {
@@ -125,7 +132,6 @@
 }
 
 fn write_files(dir: &Path, runs: &[Run], off: &[Run]) -> Result<(), String> {
-    fs::create_dir_all(dir).map_err(|error| error.to_string())?;
     let write = |name: &str, text: String| {
         fs::write(dir.join(name), text).map_err(|error| format!("{name}: {error}"))
     };
