node: keep a leaving service's word standing

Cause: a service says that it leaves only in answers to calls; its sighting faded after 10 s and the next call went there. The host that heard the word renews its sighting, and so its heartbeats', for ten minutes.

--- a/lib/src/coordination/node/control.rs
+++ b/lib/src/coordination/node/control.rs
@@ -94,6 +94,7 @@
             self.repeat_asks(now.mono);
             self.end_silent_streams(now.mono);
             self.refresh_dispatch(now.mono);
+            self.renew_leaving(now.mono);
             self.judge_targets(now.mono);
         }
         self.end_stop(now);
--- a/lib/src/coordination/node/mod.rs
+++ b/lib/src/coordination/node/mod.rs
@@ -10,6 +10,7 @@
 mod engine_signals;
 mod groups;
 mod io;
+mod leaving;
 mod orders;
 mod running;
 mod status;
@@ -96,6 +97,7 @@
     calls: CallTable,
     dispatch: Dispatchers,
     orders: OrderDesk,
+    leaving: leaving::LeavingServices,
     seq: u64,
     out: Vec<Output>,
 }
@@ -125,6 +127,7 @@
             usable: HashSet::new(),
             dispatch: Dispatchers::default(),
             orders: OrderDesk::new(now.mono, tuning.weight_loads),
+            leaving: leaving::LeavingServices::default(),
             rules: Arc::default(),
             tokens: HashMap::new(),
             list: LiveList::default(),
