calls: say unknown where a host that is not the home turns a copy away

Cause: a host that starts, stops or is overloaded answered not_run to a call with a key whose other copy ran through another host; not_run speaks for all copies, so only the home may say it. Seen with test_call_runs_at_most_once, an entry host killed and started again: a key was told not_run/no_configuration and ran once.

--- /dev/null
+++ b/cli/tests/test_failures_stops.rs
@@ -0,0 +1,159 @@
+//! Planned stops under load, and targets that leave.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use reqwest::Client;
+use uuid::Uuid;
+use wasabicrank_testutils::customers::FleetRules;
+use wasabicrank_testutils::customers::todays_customers;
+use wasabicrank_testutils::engine::EngineConfig;
+use wasabicrank_testutils::fleet::Fleet;
+use wasabicrank_testutils::fleet::FleetConfig;
+use wasabicrank_testutils::load::CallAsk;
+use wasabicrank_testutils::load::CallEnd;
+use wasabicrank_testutils::load::CompletionEnd;
+use wasabicrank_testutils::load::Crowd;
+use wasabicrank_testutils::load::CrowdAsk;
+use wasabicrank_testutils::load::ask_call;
+use wasabicrank_testutils::load::wait_for_calls;
+use wasabicrank_testutils::operators::wait_until;
+use wasabicrank_testutils::process::Signal;
+
+/// How long a test waits for what it expects.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Within what time a leaving target must get no new work any more.
+const LEFT_WITHIN: Duration = Duration::from_secs(5);
+
+/// How long after that new work is counted, past the time that a sighting stands by itself.
+const WATCHED: Duration = Duration::from_secs(12);
+
+const PATH: &str = "/enrolment/seats";
+
+/// Starts three entry hosts before engines that make some 800 tokens a second for one stream.
+async fn start_fleet() -> Fleet {
+    let config = FleetConfig {
+        binary: Some(env!("CARGO_BIN_EXE_wasabicrank").into()),
+        entry_hosts: 3,
+        engines: 4,
+        engine: EngineConfig { speed: 10.0, ..EngineConfig::default() },
+        rules: FleetRules::default().text(&todays_customers()),
+        ..FleetConfig::default()
+    };
+    let fleet = Fleet::start(config).await.expect("the fleet starts");
+    let ready = wait_for_calls(&fleet.callers(), "token-1", PATH, PATIENCE).await;
+    assert!(ready.is_some(), "calls are still refused");
+    fleet
+}
+
+fn streams(callers: usize, answer_tokens: u32) -> CrowdAsk {
+    CrowdAsk {
+        token: "token-1".to_owned(),
+        callers,
+        prompt_tokens: 200,
+        answer_tokens,
+        deadline: PATIENCE,
+    }
+}
+
+/// Makes the call with `key` at one entry host.
+async fn call(client: &Client, host: SocketAddr, key: &str) -> CallEnd {
+    let ask = CallAsk {
+        token: "token-1".to_owned(),
+        path: PATH.to_owned(),
+        key: key.to_owned(),
+        deadline: Duration::from_secs(5),
+    };
+    ask_call(client, &[host], 0, &ask).await.end
+}
+
+/// Stops one entry host under load as planned; its streams and claims must outlive that.
+async fn stop_under_load(fleet: &mut Fleet, index: usize) {
+    let client = Client::new();
+    let hosts = fleet.callers();
+    let mut keys = Vec::new();
+    for number in 0..20 {
+        let key = Uuid::now_v7().to_string();
+        let end = call(&client, hosts[number % hosts.len()], &key).await;
+        assert_eq!(end, CallEnd::Answered { own: true }, "before the stop of host {index}");
+        keys.push(key);
+    }
+    let mut running = Crowd::default();
+    running.send(&hosts, &streams(9, 1_500));
+    let held = wait_until(PATIENCE, async || fleet.held() > 9 * 200).await;
+    assert!(held.is_some(), "no streams run");
+    fleet.signal_host(index, Signal::Term).unwrap();
+    let mut later = Crowd::default();
+    for _ in 0..10 {
+        later.send(&hosts, &streams(3, 20));
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    for story in running.finish().await {
+        assert_eq!(story.end, CompletionEnd::Answered { right: true }, "{}", story.request);
+        assert_eq!(story.came_back, 0, "the stop of host {index} cut {}", story.request);
+    }
+    for story in later.finish().await {
+        assert_eq!(story.end, CompletionEnd::Answered { right: true }, "{}", story.request);
+    }
+    let process = fleet.hosts[index].process.as_ref().expect("a process");
+    let status = process.wait_exit(PATIENCE).await.expect("the process ends");
+    assert!(status.success(), "{status}: {:?}", process.log());
+    let log = process.log();
+    let ended = log.iter().find(|line| line.contains("planned stop ended"));
+    let ended = ended.unwrap_or_else(|| panic!("no word of the stop's end: {log:?}"));
+    assert!(ended.contains("\"cut\":0"), "{ended}");
+    let left: Vec<SocketAddr> =
+        (0..hosts.len()).filter(|h| *h != index).map(|h| hosts[h]).collect();
+    for (number, key) in keys.iter().enumerate() {
+        let end = call(&client, left[number % left.len()], key).await;
+        assert_eq!(end, CallEnd::Answered { own: true }, "{key} after the stop of host {index}");
+    }
+    assert_eq!(fleet.service_runs.by_key.repeated(), [], "calls ran more than once");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn test_rolling_stop_cuts_no_request() {
+    let mut fleet = start_fleet().await;
+    for index in 0..3 {
+        stop_under_load(&mut fleet, index).await;
+        fleet.start_host(index).await.expect("the entry host starts again");
+        let ready = wait_for_calls(&fleet.callers(), "token-1", PATH, PATIENCE).await;
+        assert!(ready.is_some(), "calls are refused after the stop of host {index}");
+    }
+}
+
+/// Sends short prompts and calls to all entry hosts for `span`.
+async fn send_work(fleet: &Fleet, span: Duration) {
+    let (client, hosts) = (Client::new(), fleet.callers());
+    let end = tokio::time::Instant::now() + span;
+    let mut crowd = Crowd::default();
+    while tokio::time::Instant::now() < end {
+        crowd.send(&hosts, &streams(3, 5));
+        for host in &hosts {
+            let end = call(&client, *host, &Uuid::now_v7().to_string()).await;
+            assert_eq!(end, CallEnd::Answered { own: true });
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    for story in crowd.finish().await {
+        assert_eq!(story.end, CompletionEnd::Answered { right: true }, "{}", story.request);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn test_leaving_target_gets_no_new_work() {
+    let fleet = start_fleet().await;
+    fleet.platform.set_live_lag(Duration::from_secs(10));
+    fleet.hosts.iter().for_each(|host| host.view.stop());
+    let (engine, service) = (&fleet.engines[0].engine, &fleet.services[0].service);
+    send_work(&fleet, Duration::from_secs(1)).await;
+    assert!(engine.counts().accepted > 0 && service.calls() > 0, "the targets get no work at all");
+    engine.set_leaving(true);
+    service.set_leaving(true);
+    send_work(&fleet, LEFT_WITHIN).await;
+    let before = (engine.counts().accepted, service.calls());
+    send_work(&fleet, WATCHED).await;
+    let after = (engine.counts().accepted, service.calls());
+    assert_eq!(before, after, "new work at the leaving engine and service");
+}
--- a/lib/src/coordination/node/calls.rs
+++ b/lib/src/coordination/node/calls.rs
@@ -31,7 +31,6 @@
 use crate::state::ServiceCall;
 use crate::state::ServiceName;
 use crate::state::ServiceReply;
-use crate::state::TargetState;
 
 /// The most processes of a service that one call is tried at.
 const MAX_TRIES: u32 = 3;
@@ -94,7 +93,7 @@
     pub(super) fn on_call(&mut self, now: Now, ticket: CallerTicket, form: CallForm) {
         let id = self.next_id();
         if let Some(refusal) = self.closed() {
-            self.refuse_new(ticket, id, refusal);
+            self.refuse_call(ticket, id, &form, refusal);
             return;
         }
         let Some(customer) = self.customer_of(form.token_hash) else {
@@ -106,7 +105,7 @@
             return;
         };
         if let Err(refusal) = self.limits.admit(now.mono, &customer, 1) {
-            self.refuse_new(ticket, id, refusal);
+            self.refuse_call(ticket, id, &form, refusal);
             return;
         }
         self.answer(ticket, AnswerPiece::Accepted(id));
@@ -116,6 +115,18 @@
         self.start_call(now, call, span);
     }
 
+    /// Refuses a call that was never admitted; a copy with its key may have run through another host.
+    fn refuse_call(
+        &mut self,
+        ticket: CallerTicket,
+        id: RequestId,
+        form: &CallForm,
+        refusal: Refusal,
+    ) {
+        let refusal = if form.key.is_some() { refusal.of_copy() } else { refusal };
+        self.refuse_new(ticket, id, refusal);
+    }
+
     /// Finds the service that a path leads to and makes the call for it.
     fn route_call(
         &self,
@@ -247,9 +258,7 @@
     pub(super) fn on_service(&mut self, now: Now, report: ServiceReport) {
         let Some(mut sent) = self.calls.sent.remove(&report.request) else { return };
         sent.lost |= report.result == Err(ServiceFailure::Lost);
-        if report.leaving {
-            self.see_target(now.mono, report.addr, Some(TargetState::Leaving));
-        }
+        self.hear_service(now.mono, report.addr, report.leaving);
         if report.result == Err(ServiceFailure::NotSent) {
             self.see_target(now.mono, report.addr, None);
         }
--- a/lib/src/state/outcome.rs
+++ b/lib/src/state/outcome.rs
@@ -174,3 +174,22 @@
     /// When coming back may help.
     pub retry_after: Option<Duration>,
 }
+
+impl Refusal {
+    /// Returns the refusal of one copy of a call by a process that is not the home of its key.
+    ///
+    /// Another copy may have run, so only the home may say that the call did not.
+    ///
+    /// ```
+    /// use wasabicrank_lib::state::{Outcome, Reason, Refusal};
+    /// let refusal =
+    ///     Refusal { outcome: Outcome::NotRun, reason: Reason::Stopping, retry_after: None };
+    /// assert_eq!(refusal.of_copy().outcome, Outcome::Unknown);
+    /// ```
+    pub fn of_copy(self) -> Refusal {
+        match self.outcome {
+            Outcome::NotRun | Outcome::Unknown => Refusal { outcome: Outcome::Unknown, ..self },
+            Outcome::Failed => self,
+        }
+    }
+}
--- a/lib/src/transport/callers.rs
+++ b/lib/src/transport/callers.rs
@@ -297,8 +297,10 @@
         Ok(form) => Box::new(form),
         Err(error) => return CallerResponse::rejected(400, "bad_request", error.to_string()),
     };
+    let keyed = form.key.is_some();
     match state.open(|ticket| Input::Call { ticket, form }) {
         Ok(answer) => caller_stream::respond(answer, AnswerShape::Text, false).await,
+        Err(refusal) if keyed => CallerResponse::refused(None, &refusal.of_copy()),
         Err(refusal) => CallerResponse::refused(None, &refusal),
     }
 }
--- a/lib/testutils/src/service.rs
+++ b/lib/testutils/src/service.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rocket::Data;
@@ -68,6 +70,7 @@
 #[derive(Debug)]
 struct Core {
     runs: ServiceRuns,
+    calls: AtomicU64,
     switches: Mutex<Switches>,
     frozen: watch::Sender<bool>,
     relay: Mutex<Option<Arc<Relay>>>,
@@ -85,6 +88,7 @@
     pub async fn start(runs: ServiceRuns) -> io::Result<Service> {
         let core = Arc::new(Core {
             runs,
+            calls: AtomicU64::new(0),
             switches: Mutex::default(),
             frozen: watch::Sender::new(false),
             relay: Mutex::default(),
@@ -106,6 +110,11 @@
         &self.core.runs
     }
 
+    /// Returns how many calls ran at this host.
+    pub fn calls(&self) -> u64 {
+        self.core.calls.load(Ordering::Relaxed)
+    }
+
     /// Sets how calls go wrong from now on.
     pub fn set_fault(&self, fault: CallFault) {
         lock(&self.core.switches).fault = fault;
@@ -226,6 +235,7 @@
             }
             CallFault::None | CallFault::FailAfter | CallFault::DropAfter => {}
         }
+        core.calls.fetch_add(1, Ordering::Relaxed);
         let body = call.run(&core.runs);
         tokio::time::sleep(switches.delay).await;
         core.wait_thawed().await;
