--- a/lib/tests/homes/mod.rs
+++ b/lib/tests/homes/mod.rs
@@ -218,8 +218,7 @@
         let mut counts = Counts::default();
         let mut wrong = None;
         for copy in &self.copies {
-            let host = &self.hosts[copy.host];
-            if host.incarnation != copy.incarnation || !host.alive {
+            if !self.is_there(copy) {
                 continue;
             }
             if copy.answers.len() != 1 {
--- a/lib/tests/test_config_spread.rs
+++ b/lib/tests/test_config_spread.rs
@@ -8,6 +8,9 @@
 use proptest::test_runner::RngAlgorithm;
 use proptest::test_runner::TestRng;
 use proptest::test_runner::TestRunner;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use wasabicrank_lib::coordination::*;
 use wasabicrank_lib::state::*;
 
@@ -28,7 +31,9 @@
     members: Members,
     started: u64,
     cut: bool,
-    highest: u64,
+    /// Until when it hears no heartbeats.
+    deaf: u64,
+    in_force: Vec<u64>,
     refusals: Vec<(u64, Vec<String>)>,
 }
 
@@ -37,6 +42,10 @@
     hosts: Vec<Host>,
     service: Service,
     bytes: usize,
+    rng: SmallRng,
+    /// How many messages in a thousand are lost; as many come late, after the next step.
+    loss: u32,
+    late: Vec<(usize, HostName, PeerMessage)>,
 }
 
 fn check(version: u64, text: &str) -> Result<Rules, Vec<String>> {
@@ -58,7 +67,9 @@
 impl Fleet {
     fn new(count: usize) -> Fleet {
         let service = Service::default();
-        let mut fleet = Fleet { now: 0, hosts: Vec::new(), service, bytes: 0 };
+        let rng = SmallRng::seed_from_u64(0);
+        let (hosts, late) = (Vec::new(), Vec::new());
+        let mut fleet = Fleet { now: 0, hosts, service, bytes: 0, rng, loss: 0, late };
         for at in 0..count {
             let host = fleet.fresh(at, count);
             fleet.hosts.push(host);
@@ -79,7 +90,8 @@
             members,
             started: self.now,
             cut: false,
-            highest: 0,
+            deaf: 0,
+            in_force: Vec::new(),
             refusals: Vec::new(),
         }
     }
@@ -96,6 +108,9 @@
         let until = self.now + seconds * SECOND;
         while self.now < until {
             self.now += STEP;
+            for (at, to, message) in std::mem::take(&mut self.late) {
+                self.deliver(at, &to, &message);
+            }
             for at in 0..self.hosts.len() {
                 self.beat(at);
                 let host = &mut self.hosts[at];
@@ -114,7 +129,8 @@
         let beat = Heartbeat { beat: self.now, config, config_hash, ..Heartbeat::default() };
         let from = host.name.clone();
         for to in 0..self.hosts.len() {
-            if to == at || self.hosts[to].cut || self.hosts[at].cut {
+            let deaf = self.hosts[to].deaf > self.now;
+            if to == at || deaf || self.hosts[to].cut || self.hosts[at].cut {
                 continue;
             }
             let peer = &mut self.hosts[to];
@@ -127,12 +143,13 @@
     fn handle(&mut self, at: usize, outputs: Vec<ConfigOutput>) {
         for output in outputs {
             match output {
-                ConfigOutput::Send { to, message } => self.deliver(at, &to, &message),
+                ConfigOutput::Send { to, message } => self.send(at, to, message),
                 ConfigOutput::Watch { after, .. } => self.watch(at, after),
                 ConfigOutput::InForce(rules) => {
                     let host = &mut self.hosts[at];
-                    assert!(rules.version > host.highest, "version {} again", rules.version);
-                    host.highest = rules.version;
+                    let last = host.in_force.last().copied().unwrap_or(0);
+                    assert!(rules.version > last, "{} after {last}", rules.version);
+                    host.in_force.push(rules.version);
                 }
                 ConfigOutput::Event(Event::ConfigRefused { version, errors }) => {
                     self.hosts[at].refusals.push((version, errors));
@@ -142,6 +159,18 @@
         }
     }
 
+    /// Delivers a message, loses it, or delivers it now and once more later.
+    fn send(&mut self, at: usize, to: HostName, message: PeerMessage) {
+        let luck = self.rng.random_range(0..1_000);
+        if luck < self.loss {
+            return;
+        }
+        if luck < 2 * self.loss {
+            self.late.push((at, to.clone(), message.clone()));
+        }
+        self.deliver(at, &to, &message);
+    }
+
     fn deliver(&mut self, at: usize, to: &HostName, message: &PeerMessage) {
         let Some(to) = self.hosts.iter().position(|host| host.name == *to) else {
             return;
@@ -211,12 +240,13 @@
     let mut fleet = Fleet::new(5);
     fleet.publish(7, "seven\n");
     fleet.run(9);
-    // The service answers the new process at once, with an older value.
+    // The service answers the new process before it hears its peers, with an older value.
     fleet.publish(5, "five\n");
     fleet.restart(3);
+    fleet.hosts[3].deaf = fleet.now + SECOND;
     fleet.run(9);
     assert_eq!(fleet.versions(), [7; 5]);
-    assert_eq!(fleet.hosts[3].highest, 7);
+    assert_eq!(fleet.hosts[3].in_force, [7]);
     fleet.service.down = true;
     fleet.restart(2);
     fleet.run(9);
@@ -240,6 +270,22 @@
     assert_eq!(fleet.versions(), [3; 5]);
 }
 
+#[test]
+fn lost_and_repeated_messages_delay_a_change_by_seconds() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(5);
+        fleet.rng = SmallRng::seed_from_u64(seed);
+        fleet.loss = 300;
+        for version in 1..=6 {
+            let line = if version == 4 { "bad" } else { "good" };
+            fleet.publish(version, &format!("{line}\nversion {version}\n"));
+            fleet.run(1 + seed % 3);
+        }
+        fleet.run(9);
+        assert_eq!(fleet.versions(), [6; 5], "seed {seed}");
+    }
+}
+
 #[test]
 fn a_bad_edit_is_refused_whole_and_told_by_every_host() {
     let mut fleet = Fleet::new(5);
