tests: count what a leaving engine turns away as new work

A trial with the dispatcher's reading of the leaving mark taken out still passed, since the engine itself refuses and only what it took was counted.

--- a/cli/tests/test_failures_stops.rs
+++ b/cli/tests/test_failures_stops.rs
@@ -152,8 +152,12 @@
     engine.set_leaving(true);
     service.set_leaving(true);
     send_work(&fleet, LEFT_WITHIN).await;
-    let before = (engine.counts().accepted, service.calls());
+    let came = || {
+        let counts = engine.counts();
+        (counts.accepted + counts.turned_away, service.calls())
+    };
+    let before = came();
     send_work(&fleet, WATCHED).await;
-    let after = (engine.counts().accepted, service.calls());
+    let after = came();
     assert_eq!(before, after, "new work at the leaving engine and service");
 }
--- a/lib/testutils/src/engine.rs
+++ b/lib/testutils/src/engine.rs
@@ -76,6 +76,8 @@
     pub accepted: u64,
     /// Requests that it refused because its memory was full.
     pub memory_full: u64,
+    /// Requests that it refused because it was leaving.
+    pub turned_away: u64,
     /// The most memory that it held, in tokens.
     pub peak_held: u32,
     /// Answers that grew past its memory; more than none is the caller's fault.
--- a/lib/testutils/src/engine_core.rs
+++ b/lib/testutils/src/engine_core.rs
@@ -438,6 +438,7 @@
     /// Checks whether a request may come in at all.
     fn admit(&self, submission: &Submission) -> Result<(), EngineRefusal> {
         if self.leaving {
+            self.counts.turned_away += 1;
             return Err(EngineRefusal::Leaving);
         }
         if self.setup.model(&submission.model).is_none() {
