--- a/lib/testutils/src/engine_core.rs
+++ b/lib/testutils/src/engine_core.rs
@@ -436,7 +436,7 @@
 
 impl State {
     /// Checks whether a request may come in at all.
-    fn admit(&self, submission: &Submission) -> Result<(), EngineRefusal> {
+    fn admit(&mut self, submission: &Submission) -> Result<(), EngineRefusal> {
         if self.leaving {
             self.counts.turned_away += 1;
             return Err(EngineRefusal::Leaving);
