callers: say unknown to a copy of a keyed call that is turned away

Cause: a copy refused before the core saw it (no such customer, a long or late body) was told not_run, though another copy of the same key had run. Ruled out: asking the home about each bad request, which lets strangers load it. Change: what turns away a call with a key says unknown.

--- a/cli/tests/test_whole_path.rs
+++ b/cli/tests/test_whole_path.rs
@@ -101,7 +101,7 @@
     let mut in_a_row = 0;
     while in_a_row < 64 {
         assert!(Instant::now() < end, "no home for some shard within {HOMES_WITHIN:?}");
-        let status = reserve(fleet, in_a_row % 3, Uuid::now_v7()).await.status();
+        let status = reserve(fleet, in_a_row % fleet.hosts.len(), Uuid::now_v7()).await.status();
         in_a_row = if status == 200 { in_a_row + 1 } else { 0 };
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
@@ -176,6 +176,20 @@
     assert_eq!(ask(&fleet, 0, body).await.status(), 200, "the daemon goes on");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn test_copy_that_is_turned_away_does_not_speak_for_the_others() {
+    let fleet = Fleet::start(FleetConfig { engines: 1, ..config(1) }).await.unwrap();
+    wait_for_homes(&fleet).await;
+    let key = Uuid::now_v7();
+    assert_eq!(reserve(&fleet, 0, key).await.status(), 200);
+    let url = format!("http://{}/enrolment/elections", fleet.callers()[0]);
+    let copy = client().post(url).bearer_auth("nobody").header("idempotency-key", key.to_string());
+    let response = copy.body("{\"percent\":5}").send().await.unwrap();
+    assert_eq!(response.status(), 401);
+    let refusal: Value = response.json().await.unwrap();
+    assert_eq!(refusal["outcome"], "unknown", "{refusal}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn test_caller_cannot_set_fields_of_the_system() {
     let fleet = Fleet::start(FleetConfig { engines: 1, ..config(1) }).await.unwrap();
--- a/lib/src/transport/caller_response.rs
+++ b/lib/src/transport/caller_response.rs
@@ -26,6 +26,8 @@
 pub(crate) enum CallerResponse {
     /// A JSON body.
     Json { status: u16, body: String, retry: Option<Duration> },
+    /// A request that was turned away before it was admitted.
+    Rejected { status: u16, refusal: RefusalJson },
     /// A stream of server-sent events.
     Events(EventBytes),
     /// A plain service's answer as it came.
@@ -40,7 +42,16 @@
 
     /// Makes the response to a request that never reached the core.
     pub(crate) fn rejected(status: u16, reason: &str, message: String) -> CallerResponse {
-        CallerResponse::json(status, to_json(&RefusalJson::not_run(reason, message)))
+        CallerResponse::Rejected { status, refusal: RefusalJson::not_run(reason, message) }
+    }
+
+    /// Makes the response to one copy of a call with a key.
+    ///
+    /// That this copy was turned away does not say that no other ran.
+    pub(crate) fn of_copy(self) -> CallerResponse {
+        let CallerResponse::Rejected { status, refusal } = self else { return self };
+        let outcome = Outcome::Unknown.as_str().to_owned();
+        CallerResponse::Rejected { status, refusal: RefusalJson { outcome, ..refusal } }
     }
 
     /// Makes the response to a request that the core refused or gave up.
@@ -95,6 +106,9 @@
     fn respond_to(self, _request: &'r Request<'_>) -> rocket::response::Result<'static> {
         match self {
             CallerResponse::Json { status, body, retry } => json_response(status, body, retry),
+            CallerResponse::Rejected { status, refusal } => {
+                json_response(status, to_json(&refusal), None)
+            }
             CallerResponse::Events(events) => {
                 let mut response = Response::build();
                 response.header(ContentType::EventStream);
--- a/lib/src/transport/callers.rs
+++ b/lib/src/transport/callers.rs
@@ -298,7 +298,9 @@
         let Some(state) = request.rocket().state::<Arc<CallerState>>() else {
             return rocket::route::Outcome::error(rocket::http::Status::InternalServerError);
         };
+        let keyed = request.headers().contains("idempotency-key");
         let response = call_service(request, data, state).await;
+        let response = if keyed { response.of_copy() } else { response };
         rocket::route::Outcome::from(request, response)
     }
 }
