workload: give the loads of demo and measure a crate of their own

Cause: the load generator and the replay stood among the stand-ins for tests, though they are what `demo` and `measure` run. Ruled out: the command line's crate, since tests of the library replay too. Conclusion: testutils holds stand-ins and processes only.

--- a/cli/src/commands/demo/mod.rs
+++ b/cli/src/commands/demo/mod.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use argh::FromArgs;
-use wasabicrank_testutils::load::LengthMix;
-use wasabicrank_testutils::load::Load;
-use wasabicrank_testutils::load::LoadConfig;
-use wasabicrank_testutils::load::LoadMix;
-use wasabicrank_testutils::load::LoadReport;
-use wasabicrank_testutils::load::wait_for_calls;
+use wasabicrank_workload::load::LengthMix;
+use wasabicrank_workload::load::Load;
+use wasabicrank_workload::load::LoadConfig;
+use wasabicrank_workload::load::LoadMix;
+use wasabicrank_workload::load::LoadReport;
+use wasabicrank_workload::load::wait_for_calls;
 
 use crate::output::Exit;
 use crate::output::complain;
--- a/cli/src/commands/demo/report.rs
+++ b/cli/src/commands/demo/report.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use wasabicrank_testutils::load::LENGTH_BOUNDS;
-use wasabicrank_testutils::load::LengthReport;
-use wasabicrank_testutils::load::LoadReport;
+use wasabicrank_workload::load::LENGTH_BOUNDS;
+use wasabicrank_workload::load::LengthReport;
+use wasabicrank_workload::load::LoadReport;
 
 use super::fleet::DemoFleet;
 
--- a/cli/src/commands/measure/chart.rs
+++ b/cli/src/commands/measure/chart.rs
@@ -2,7 +2,7 @@
 
 use plotters::prelude::*;
 use plotters::style::FontFamily;
-use wasabicrank_testutils::replay_measure::BUCKETS;
+use wasabicrank_workload::replay_measure::BUCKETS;
 
 use super::Run;
 
--- a/cli/src/commands/measure/mod.rs
+++ b/cli/src/commands/measure/mod.rs
@@ -9,11 +9,11 @@
 use std::time::Duration;
 
 use argh::FromArgs;
-use wasabicrank_testutils::naive::NaivePick;
-use wasabicrank_testutils::replay_fleet::FleetSettings;
-use wasabicrank_testutils::replay_measure::Contender;
-use wasabicrank_testutils::replay_measure::Measures;
-use wasabicrank_testutils::replay_measure::Scenario;
+use wasabicrank_workload::naive::NaivePick;
+use wasabicrank_workload::replay_fleet::FleetSettings;
+use wasabicrank_workload::replay_measure::Contender;
+use wasabicrank_workload::replay_measure::Measures;
+use wasabicrank_workload::replay_measure::Scenario;
 
 use crate::output::Exit;
 use crate::output::complain;
--- a/cli/src/commands/measure/table.rs
+++ b/cli/src/commands/measure/table.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use wasabicrank_testutils::replay_measure::BUCKETS;
+use wasabicrank_workload::replay_measure::BUCKETS;
 
 use super::Run;
 
--- a/cli/tests/test_failures_calls.rs
+++ b/cli/tests/test_failures_calls.rs
@@ -13,11 +13,11 @@
 use wasabicrank_testutils::customers::todays_customers;
 use wasabicrank_testutils::fleet::Fleet;
 use wasabicrank_testutils::fleet::FleetConfig;
-use wasabicrank_testutils::load::CallAsk;
-use wasabicrank_testutils::load::CallEnd;
-use wasabicrank_testutils::load::ask_call;
-use wasabicrank_testutils::load::wait_for_calls;
 use wasabicrank_testutils::process::Signal;
+use wasabicrank_workload::load::CallAsk;
+use wasabicrank_workload::load::CallEnd;
+use wasabicrank_workload::load::ask_call;
+use wasabicrank_workload::load::wait_for_calls;
 
 /// How long a new or healed fleet may refuse calls.
 const READY_WITHIN: Duration = Duration::from_secs(30);
--- a/cli/tests/test_failures_stops.rs
+++ b/cli/tests/test_failures_stops.rs
@@ -10,15 +10,15 @@
 use wasabicrank_testutils::engine::EngineConfig;
 use wasabicrank_testutils::fleet::Fleet;
 use wasabicrank_testutils::fleet::FleetConfig;
-use wasabicrank_testutils::load::CallAsk;
-use wasabicrank_testutils::load::CallEnd;
-use wasabicrank_testutils::load::CompletionEnd;
-use wasabicrank_testutils::load::Crowd;
-use wasabicrank_testutils::load::CrowdAsk;
-use wasabicrank_testutils::load::ask_call;
-use wasabicrank_testutils::load::wait_for_calls;
 use wasabicrank_testutils::operators::wait_until;
 use wasabicrank_testutils::process::Signal;
+use wasabicrank_workload::load::CallAsk;
+use wasabicrank_workload::load::CallEnd;
+use wasabicrank_workload::load::CompletionEnd;
+use wasabicrank_workload::load::Crowd;
+use wasabicrank_workload::load::CrowdAsk;
+use wasabicrank_workload::load::ask_call;
+use wasabicrank_workload::load::wait_for_calls;
 
 /// How long a test waits for what it expects.
 const PATIENCE: Duration = Duration::from_secs(30);
--- a/cli/tests/test_failures_streams.rs
+++ b/cli/tests/test_failures_streams.rs
@@ -13,14 +13,14 @@
 use wasabicrank_testutils::fleet::Fleet;
 use wasabicrank_testutils::fleet::FleetConfig;
 use wasabicrank_testutils::fleet::FleetEngine;
-use wasabicrank_testutils::load::CompletionEnd;
-use wasabicrank_testutils::load::CompletionStory;
-use wasabicrank_testutils::load::Crowd;
-use wasabicrank_testutils::load::CrowdAsk;
 use wasabicrank_testutils::operators::read_status;
 use wasabicrank_testutils::operators::wait_until;
 use wasabicrank_testutils::process::Signal;
 use wasabicrank_testutils::stream_faults::StreamFaults;
+use wasabicrank_workload::load::CompletionEnd;
+use wasabicrank_workload::load::CompletionStory;
+use wasabicrank_workload::load::Crowd;
+use wasabicrank_workload::load::CrowdAsk;
 
 /// How long a test waits for what it expects.
 const PATIENCE: Duration = Duration::from_secs(30);
--- a/cli/tests/test_load_on_fleet.rs
+++ b/cli/tests/test_load_on_fleet.rs
@@ -11,11 +11,11 @@
 use wasabicrank_testutils::engine::EngineConfig;
 use wasabicrank_testutils::fleet::Fleet;
 use wasabicrank_testutils::fleet::FleetConfig;
-use wasabicrank_testutils::load::Broken;
-use wasabicrank_testutils::load::Load;
-use wasabicrank_testutils::load::LoadConfig;
-use wasabicrank_testutils::load::wait_for_calls;
 use wasabicrank_testutils::stream_faults::StreamFaults;
+use wasabicrank_workload::load::Broken;
+use wasabicrank_workload::load::Load;
+use wasabicrank_workload::load::LoadConfig;
+use wasabicrank_workload::load::wait_for_calls;
 
 /// How long a new fleet may refuse calls that may run once.
 const READY_WITHIN: Duration = Duration::from_secs(30);
--- a/lib/examples/control_cost.rs
+++ b/lib/examples/control_cost.rs
@@ -15,9 +15,9 @@
 use wasabicrank_testutils::customers::todays_customers;
 use wasabicrank_testutils::fleet::Fleet;
 use wasabicrank_testutils::fleet::FleetConfig;
-use wasabicrank_testutils::load::Load;
-use wasabicrank_testutils::load::LoadConfig;
-use wasabicrank_testutils::load::wait_for_calls;
+use wasabicrank_workload::load::Load;
+use wasabicrank_workload::load::LoadConfig;
+use wasabicrank_workload::load::wait_for_calls;
 
 /// The requests a second of the loaded minute, about 70% of what the engines can read.
 const LOAD_RATE: f64 = 16.0;
--- a/lib/tests/test_engine_queue.rs
+++ b/lib/tests/test_engine_queue.rs
@@ -11,7 +11,7 @@
 use test_case::test_case;
 
 use wasabicrank_lib::state::*;
-use wasabicrank_testutils::naive::NaiveMemory;
+use wasabicrank_workload::naive::NaiveMemory;
 
 const MEMORY: u32 = 400_000;
 
--- a/lib/tests/test_limits.rs
+++ b/lib/tests/test_limits.rs
@@ -13,7 +13,7 @@
 use test_case::test_case;
 
 use wasabicrank_lib::state::*;
-use wasabicrank_testutils::naive::NaiveLimit;
+use wasabicrank_workload::naive::NaiveLimit;
 
 const RATE: u32 = 100_000;
 const WINDOW: Duration = Duration::from_secs(10);
--- a/lib/tests/test_load.rs
+++ b/lib/tests/test_load.rs
@@ -4,15 +4,15 @@
 
 use test_case::test_case;
 use wasabicrank_testutils::customers::todays_customers;
-use wasabicrank_testutils::load::ArrivalPlan;
-use wasabicrank_testutils::load::Ask;
-use wasabicrank_testutils::load::Broken;
-use wasabicrank_testutils::load::Load;
-use wasabicrank_testutils::load::LoadConfig;
-use wasabicrank_testutils::load::LoadMix;
 use wasabicrank_testutils::service::CallFault;
 use wasabicrank_testutils::service::Service;
 use wasabicrank_testutils::service::ServiceRuns;
+use wasabicrank_workload::load::ArrivalPlan;
+use wasabicrank_workload::load::Ask;
+use wasabicrank_workload::load::Broken;
+use wasabicrank_workload::load::Load;
+use wasabicrank_workload::load::LoadConfig;
+use wasabicrank_workload::load::LoadMix;
 
 #[test]
 fn test_plan_has_the_mix_and_rate_that_were_asked_for() {
--- a/lib/tests/test_replay.rs
+++ b/lib/tests/test_replay.rs
@@ -4,11 +4,11 @@
 
 use test_case::test_case;
 
-use wasabicrank_testutils::naive::NaivePick;
-use wasabicrank_testutils::replay_measure::BUCKETS;
-use wasabicrank_testutils::replay_measure::Contender;
-use wasabicrank_testutils::replay_measure::Measures;
-use wasabicrank_testutils::replay_measure::Scenario;
+use wasabicrank_workload::naive::NaivePick;
+use wasabicrank_workload::replay_measure::BUCKETS;
+use wasabicrank_workload::replay_measure::Contender;
+use wasabicrank_workload::replay_measure::Measures;
+use wasabicrank_workload::replay_measure::Scenario;
 
 /// How long requests arrive in one replay.
 const SPAN: Duration = Duration::from_secs(600);
@@ -72,7 +72,7 @@
 
 /// A mechanism and what goes wrong without it.
 struct OffCase {
-    off: fn(&mut wasabicrank_testutils::replay_fleet::FleetSettings),
+    off: fn(&mut wasabicrank_workload::replay_fleet::FleetSettings),
     /// The least by which the slowdown of short requests grows.
     worse: f64,
 }
--- a/lib/testutils/src/server.rs
+++ b/lib/testutils/src/server.rs
@@ -28,7 +28,7 @@
 const BODY_LIMIT_MIB: u64 = 64;
 
 /// Locks `mutex`, also when a test's thread panicked while it held it.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
--- /dev/null
+++ b/workload/src/lib.rs
@@ -0,0 +1,13 @@
+//! The loads behind `wasabicrank demo` and `wasabicrank measure`.
+//!
+//! [`load`] sends a seeded load over HTTP and holds what callers were told against what ran.
+//! [`replay`] plays a seeded list of arrivals in virtual time against the core's decisions and
+//! against [`naive`] routers.
+
+pub mod load;
+pub mod naive;
+pub mod replay;
+pub mod replay_fleet;
+pub mod replay_load;
+pub mod replay_measure;
+pub(crate) mod replay_origin;
--- a/lib/testutils/src/load/call.rs
+++ b/workload/src/load/call.rs
@@ -12,7 +12,7 @@
 
 use crate::load::DEADLINE_GRACE;
 use crate::load::Refused;
-use crate::text::TextHash;
+use wasabicrank_testutils::text::TextHash;
 
 /// How many calls in a row must be answered before all homes of keys are taken to be ready.
 const PROBES: usize = 20;
--- a/lib/testutils/src/load/completion.rs
+++ b/workload/src/load/completion.rs
@@ -13,8 +13,8 @@
 
 use crate::load::PromptPlan;
 use crate::load::Refused;
-use crate::text::TOKEN_BYTES;
-use crate::text::expected_answer;
+use wasabicrank_testutils::text::TOKEN_BYTES;
+use wasabicrank_testutils::text::expected_answer;
 
 /// How long after its deadline an answer may still arrive, for the way over the network.
 pub const DEADLINE_GRACE: Duration = Duration::from_secs(1);
--- a/lib/testutils/src/load/config.rs
+++ b/workload/src/load/config.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::customers::Customer;
 use crate::load::LoadMix;
-use crate::records::RunRecord;
-use crate::service::ServiceRuns;
+use wasabicrank_testutils::customers::Customer;
+use wasabicrank_testutils::records::RunRecord;
+use wasabicrank_testutils::service::ServiceRuns;
 
 /// How a load is set up.
 #[derive(Debug, Clone)]
--- a/lib/testutils/src/load/evidence.rs
+++ b/workload/src/load/evidence.rs
@@ -5,7 +5,7 @@
 
 use crate::load::Broken;
 use crate::load::LoadReport;
-use crate::records::RunRecord;
+use wasabicrank_testutils::records::RunRecord;
 
 /// What callers were told about one call.
 #[derive(Debug, Clone, Copy, Default)]
--- a/lib/testutils/src/load/plan.rs
+++ b/workload/src/load/plan.rs
@@ -6,8 +6,8 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::customers::Customer;
-use crate::text::answer_text;
+use wasabicrank_testutils::customers::Customer;
+use wasabicrank_testutils::text::answer_text;
 
 /// The upper bounds of the prompt lengths that are reported apart, in tokens.
 pub const LENGTH_BOUNDS: [u32; 6] = [1_024, 4_096, 16_384, 65_536, 262_144, 1_048_576];
@@ -30,7 +30,7 @@
 /// The number of the length in `LENGTH_BOUNDS` that a prompt of `tokens` belongs to.
 ///
 /// ```
-/// use wasabicrank_testutils::load::length_index;
+/// use wasabicrank_workload::load::length_index;
 /// assert_eq!((length_index(1_024), length_index(1_025), length_index(900_000)), (0, 1, 5));
 /// ```
 pub fn length_index(tokens: u32) -> usize {
@@ -153,7 +153,7 @@
     ///
     /// ```
     /// use wasabicrank_testutils::customers::todays_customers;
-    /// use wasabicrank_testutils::load::{ArrivalPlan, LoadMix};
+    /// use wasabicrank_workload::load::{ArrivalPlan, LoadMix};
     /// let plan = |seed| ArrivalPlan::new(seed, LoadMix::default(), &todays_customers(), 10.0);
     /// assert_eq!(plan(1).nth(99), plan(1).nth(99));
     /// assert_ne!(plan(1).nth(99), plan(2).nth(99));
--- a/lib/testutils/src/load/report.rs
+++ b/workload/src/load/report.rs
@@ -62,7 +62,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// let mut times = wasabicrank_testutils::load::Times::default();
+/// let mut times = wasabicrank_workload::load::Times::default();
 /// times.add(Duration::from_millis(250));
 /// let median = times.quantile(0.5);
 /// assert!(median.abs_diff(Duration::from_millis(250)) < Duration::from_millis(1));
--- a/lib/testutils/src/load/runner.rs
+++ b/workload/src/load/runner.rs
@@ -31,7 +31,7 @@
 use crate::load::ask_completion;
 use crate::load::evidence::Evidence;
 use crate::load::length_index;
-use crate::server::lock;
+use wasabicrank_testutils::server::lock;
 
 /// The time that a reservation is given.
 const CALL_DEADLINE: Duration = Duration::from_secs(10);
--- a/lib/testutils/src/naive.rs
+++ b/workload/src/naive.rs
@@ -9,10 +9,6 @@
 use wasabicrank_lib::state::Reason;
 use wasabicrank_lib::state::RequestId;
 
-use crate::engine_model::EngineEventKind;
-use crate::engine_model::ModelConfig;
-use crate::engine_model::Order;
-use crate::engine_model::Work;
 use crate::replay::ENGINES;
 use crate::replay::End;
 use crate::replay::EngineSays;
@@ -20,6 +16,10 @@
 use crate::replay::Link;
 use crate::replay::Router;
 use crate::replay_load::OUTPUT_MAX;
+use wasabicrank_testutils::engine_model::EngineEventKind;
+use wasabicrank_testutils::engine_model::ModelConfig;
+use wasabicrank_testutils::engine_model::Order;
+use wasabicrank_testutils::engine_model::Work;
 
 /// The priority of every request.
 const PRIORITY: u8 = 5;
--- a/lib/testutils/src/replay.rs
+++ b/workload/src/replay.rs
@@ -12,13 +12,13 @@
 use wasabicrank_lib::state::Moment;
 use wasabicrank_lib::state::Reason;
 
-use crate::engine_model::EngineEvent;
-use crate::engine_model::EngineEventKind;
-use crate::engine_model::EngineModel;
-use crate::engine_model::Holding;
-use crate::engine_model::ModelConfig;
-use crate::engine_model::Order;
 use crate::replay_load::Arrival;
+use wasabicrank_testutils::engine_model::EngineEvent;
+use wasabicrank_testutils::engine_model::EngineEventKind;
+use wasabicrank_testutils::engine_model::EngineModel;
+use wasabicrank_testutils::engine_model::Holding;
+use wasabicrank_testutils::engine_model::ModelConfig;
+use wasabicrank_testutils::engine_model::Order;
 
 /// The engines of a replay.
 pub const ENGINES: usize = 16;
--- a/lib/testutils/src/replay_fleet.rs
+++ b/workload/src/replay_fleet.rs
@@ -25,7 +25,6 @@
 use wasabicrank_lib::state::Verdict;
 use wasabicrank_lib::state::ZoneName;
 
-use crate::engine_model::ModelConfig;
 use crate::replay::ENGINES;
 use crate::replay::End;
 use crate::replay::EngineSays;
@@ -36,6 +35,7 @@
 use crate::replay::zone_of;
 use crate::replay_load::OUTPUT_MAX;
 use crate::replay_origin::Origin;
+use wasabicrank_testutils::engine_model::ModelConfig;
 
 /// The time between two heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(200);
--- a/lib/testutils/src/replay_load.rs
+++ b/workload/src/replay_load.rs
@@ -90,7 +90,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use wasabicrank_testutils::replay_load::LoadPlan;
+    /// use wasabicrank_workload::replay_load::LoadPlan;
     /// let span = Duration::from_secs(10);
     /// let plan = LoadPlan { token_rate: 100_000.0, span, burst: None, seed: 1 };
     /// assert_eq!(plan.arrivals().len(), plan.arrivals().len());
--- a/lib/testutils/src/replay_measure.rs
+++ b/workload/src/replay_measure.rs
@@ -5,7 +5,6 @@
 
 use wasabicrank_lib::state::Moment;
 
-use crate::engine_model::ModelConfig;
 use crate::naive::NaivePick;
 use crate::naive::NaiveRouter;
 use crate::replay::ENGINES;
@@ -20,6 +19,7 @@
 use crate::replay_load::Burst;
 use crate::replay_load::LoadPlan;
 use crate::replay_load::SHORT_PROMPT;
+use wasabicrank_testutils::engine_model::ModelConfig;
 
 /// The streams that an engine at full load generates beside its prefill.
 const FULL_STREAMS: u32 = 8;
@@ -194,7 +194,7 @@
     /// Returns the percentiles of `values`.
     ///
     /// ```
-    /// use wasabicrank_testutils::replay_measure::Spread;
+    /// use wasabicrank_workload::replay_measure::Spread;
     /// let spread = Spread::of((1..=100).map(f64::from).collect());
     /// assert_eq!((spread.p50, spread.p99), (50.0, 99.0));
     /// ```
--- a/lib/testutils/src/replay_origin.rs
+++ b/workload/src/replay_origin.rs
@@ -19,10 +19,6 @@
 use wasabicrank_lib::state::Verdict;
 use wasabicrank_lib::state::engine_priority;
 
-use crate::engine_model::EngineEvent;
-use crate::engine_model::EngineEventKind;
-use crate::engine_model::Order;
-use crate::engine_model::Work;
 use crate::replay::End;
 use crate::replay::EngineSays;
 use crate::replay::Link;
@@ -37,6 +33,10 @@
 use crate::replay_fleet::refused;
 use crate::replay_fleet::request_of;
 use crate::replay_load::OUTPUT_MAX;
+use wasabicrank_testutils::engine_model::EngineEvent;
+use wasabicrank_testutils::engine_model::EngineEventKind;
+use wasabicrank_testutils::engine_model::Order;
+use wasabicrank_testutils::engine_model::Work;
 
 /// The engines that one request is tried at.
 const TRIES_MAX: u32 = 4;
