--- a/lib/examples/slopes.rs
+++ b/lib/examples/slopes.rs
@@ -183,7 +183,11 @@
     }
 
     fn heartbeat(&self, peer: usize) -> Heartbeat {
-        let share = self.size.targets / self.size.peers;
+        // As in the core, loads come with every third heartbeat.
+        let share = match self.beat.is_multiple_of(3) {
+            true => self.size.targets / self.size.peers,
+            false => 0,
+        };
         let engines = (0..share).map(|index| load(peer * share + index, self.beat));
         let usage = (0..self.size.active.min(self.size.customers)).map(|index| CustomerUse {
             customer: CustomerName::new(format!("customer-{index}")),
@@ -322,6 +326,10 @@
 fn main() {
     println!("dimension,size,cpu_us_per_s,sent_bytes_per_s,received_bytes_per_s,memory_kib");
     row("today", 5, TODAY);
+    // A cell of the size to design for, with the use of customers that all of it serves.
+    for active in [0, 10, 100] {
+        row("cell", active, Size { peers: 10, targets: 118, customers: 1_000, active, changes: 7 });
+    }
     for peers in [5, 20, 80] {
         row("peers", peers, Size { peers, targets: 160, ..TODAY });
     }
