--- a/lib/src/coordination/node/completions.rs
+++ b/lib/src/coordination/node/completions.rs
@@ -38,6 +38,7 @@
 use crate::state::Reason;
 use crate::state::Refusal;
 use crate::state::RequestId;
+use crate::state::engine_priority;
 
 /// How often an ask is repeated while its dispatcher is silent.
 pub(super) const ASK_AGAIN: Duration = Duration::from_secs(1);
@@ -301,6 +302,8 @@
         let owner = self.incarnation;
         let Some(running) = self.running.get_mut(id) else { return };
         let completion = &running.completion;
+        let prompt_tokens = completion.prompt.tokens + running.answer.sent();
+        let read = prompt_tokens.saturating_sub(grant.cached);
         let start = StreamStart {
             engine: grant.engine.clone(),
             addr,
@@ -311,7 +314,7 @@
             range: 0..completion.prompt.text.len(),
             options: completion.options.clone(),
             max_output: completion.max_output,
-            priority: engine_priority(completion),
+            priority: engine_priority(completion.priority, read),
             resume_from: running.answer.sent(),
             answered: running.answered(),
             segments: Vec::new(),
@@ -485,21 +488,6 @@
     completion.prompt.tokens.saturating_add(completion.max_output)
 }
 
-/// Returns the priority at the engine: short prompts pass long ones, then the caller's word counts.
-pub(super) fn engine_priority(completion: &Completion) -> u8 {
-    let length = match completion.prompt.tokens {
-        0..=4_096 => 6,
-        4_097..=32_768 => 3,
-        _ => 0,
-    };
-    let named = match completion.priority {
-        Priority::Low => 0,
-        Priority::Normal => 1,
-        Priority::High => 2,
-    };
-    length + named
-}
-
 /// Returns the shared text of an empty answer.
 pub(super) fn no_text() -> Arc<str> {
     Arc::from("")
--- a/lib/src/coordination/node/groups.rs
+++ b/lib/src/coordination/node/groups.rs
@@ -33,11 +33,10 @@
 use crate::state::Reason;
 use crate::state::Refusal;
 use crate::state::RequestId;
+use crate::state::SEGMENT_PRIORITY;
 use crate::state::SegmentExport;
 use crate::state::SegmentPlan;
-
-/// The bytes of text that count as one token.
-const TOKEN_BYTES: usize = 4;
+use crate::state::TOKEN_BYTES;
 
 /// A segment that is to be started at its engine.
 struct SegmentStart {
@@ -286,7 +285,7 @@
             range,
             options: completion.options.clone(),
             max_output: completion.max_output,
-            priority: super::completions::engine_priority(completion),
+            priority: SEGMENT_PRIORITY,
             resume_from,
             answered,
             segments,
--- a/lib/src/state/prefix.rs
+++ b/lib/src/state/prefix.rs
@@ -17,7 +17,7 @@
 pub const BLOCK_BYTES: usize = 4_096;
 
 /// The bytes of text that one token is counted for.
-const TOKEN_BYTES: usize = 4;
+pub const TOKEN_BYTES: usize = 4;
 
 /// How late a cache event may come, so that an older eviction does not undo a newer sighting.
 const EVENT_LAG: Duration = Duration::from_secs(2);
