node: call the fleet full by what short prompts wait for

Cause: fair shares set in when engines had 4 s to read in all, which a few very long prompts are; at 16 requests a second the demo refused 6 of 365 for fair_share and, through the debt that this left, 5 for rate_limit, below 70% of what the engines read. Ruled out: leaving long prompts out, since a customer can also fill the fleet with them. Change: full is 2 s of short prompts, or 30 s in all. Conclusion: fair shares are for a fleet that is full.

--- a/lib/src/coordination/node/control.rs
+++ b/lib/src/coordination/node/control.rs
@@ -39,8 +39,13 @@
 /// Every how many heartbeats bring the engines' loads, which are their largest part.
 const LOADS_EVERY: u64 = 3;
 
-/// The fleet is full when its engines have more than this long to read.
-const FULL_AFTER: Duration = Duration::from_secs(4);
+/// The fleet is full when its engines have more than this long to read of short prompts.
+const FULL_SHORT: Duration = Duration::from_secs(2);
+
+/// The fleet is full when its engines have more than this long to read in all.
+///
+/// A few very long prompts are many seconds of reading on a fleet that is not full.
+const FULL_ALL: Duration = Duration::from_secs(30);
 
 /// The time between two questions to the settings' peers while no live list is known.
 const SEED_PAUSE: Duration = Duration::from_millis(500);
@@ -134,12 +139,13 @@
 
     /// Returns whether the engines have more to read than they can soon, and what they do together.
     fn fleet_pressure(&self) -> FleetPressure {
-        let waiting =
-            |load: &EngineLoad| f64::from(load.short_tokens) + f64::from(load.long_tokens);
         let live = || self.loads.values().filter(|load| load.healthy);
         let capacity: f64 = live().map(|load| f64::from(load.prefill_rate)).sum();
-        let queued: f64 = live().map(waiting).sum();
-        FleetPressure { full: queued > capacity * FULL_AFTER.as_secs_f64(), capacity }
+        let short: f64 = live().map(|load| f64::from(load.short_tokens)).sum();
+        let long: f64 = live().map(|load| f64::from(load.long_tokens)).sum();
+        let full = short > capacity * FULL_SHORT.as_secs_f64()
+            || short + long > capacity * FULL_ALL.as_secs_f64();
+        FleetPressure { full, capacity }
     }
 
     /// Drops what a process that is gone asked this host's queues for.
