--- a/lib/src/coordination/node/calls.rs
+++ b/lib/src/coordination/node/calls.rs
@@ -43,6 +43,7 @@
 struct OpenCall {
     ticket: CallerTicket,
     customer: CustomerName,
+    arrived: Moment,
 }
 
 /// A call that this entry host has sent to a service.
@@ -111,7 +112,7 @@
         self.answer(ticket, AnswerPiece::Accepted(id));
         self.note(Event::Admitted { request: id, prompt_tokens: 0, deadline: span });
         self.calls.tickets.insert(ticket, id);
-        self.calls.open.insert(id, OpenCall { ticket, customer });
+        self.calls.open.insert(id, OpenCall { ticket, customer, arrived: now.mono });
         self.start_call(now, call, span);
     }
 
@@ -292,7 +293,7 @@
         self.limits.release(now, &open.customer, 0);
         match result {
             Ok(reply) => {
-                self.note(Event::Completed { request, tokens: 0, after: Duration::ZERO });
+                self.note(Event::Completed { request, tokens: 0, after: now.since(open.arrived) });
                 self.answer(open.ticket, AnswerPiece::Reply(reply));
             }
             Err(refusal) => {
--- a/lib/src/coordination/node/completions.rs
+++ b/lib/src/coordination/node/completions.rs
@@ -153,14 +153,13 @@
         self.retries.first_try(now);
         self.answer(ticket, AnswerPiece::Accepted(id));
         self.note(Event::Admitted { request: id, prompt_tokens, deadline });
-        let nobody =
-            Asking { engine: EngineName::new(""), dispatcher: self.host.clone(), asked: now };
+        let nowhere = Asking::nowhere(&self.host, now);
         self.running.insert(Running {
             completion,
             ticket,
             answer,
             attempt: 0,
-            phase: Phase::Asking(nobody),
+            phase: Phase::Asking(nowhere),
             excluded: Vec::new(),
             ran: false,
             first: None,
--- a/lib/src/coordination/node/engine_signals.rs
+++ b/lib/src/coordination/node/engine_signals.rs
@@ -10,6 +10,7 @@
 use super::io::Finish;
 use super::io::Output;
 use super::io::StreamReport;
+use super::running::Asking;
 use super::running::Phase;
 use super::running::Streaming;
 use crate::coordination::AttemptRef;
@@ -180,12 +181,7 @@
     pub(super) fn retry(&mut self, now: Moment, id: RequestId) {
         // The attempt is over, so that ending the request must not give it back a second time.
         if let Some(running) = self.running.get_mut(id) {
-            let idle = super::running::Asking {
-                engine: crate::state::EngineName::new(""),
-                dispatcher: self.host.clone(),
-                asked: now,
-            };
-            running.phase = Phase::Asking(idle);
+            running.phase = Phase::Asking(Asking::nowhere(&self.host, now));
         }
         match self.retries.retry(now) {
             Ok(()) => self.place(now, id, None),
--- a/lib/src/coordination/node/running.rs
+++ b/lib/src/coordination/node/running.rs
@@ -86,6 +86,13 @@
     pub(super) stream: Option<Streaming>,
 }
 
+impl Asking {
+    /// Makes the phase of a completion that is about to be placed and holds nothing anywhere.
+    pub(super) fn nowhere(host: &HostName, now: Moment) -> Asking {
+        Asking { engine: EngineName::new(""), dispatcher: host.clone(), asked: now }
+    }
+}
+
 impl Running {
     /// Returns the newest attempt.
     pub(super) fn attempt_id(&self) -> AttemptId {
