--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod fetch;
 mod hash_token;
+mod host;
 mod measure;
 mod serve;
 mod settings;
@@ -23,6 +24,7 @@
     Check(check::Check),
     Demo(demo::Demo),
     HashToken(hash_token::HashToken),
+    Host(host::Host),
     Measure(measure::Measure),
     Serve(serve::Serve),
     Settings(settings::PrintSettings),
@@ -39,6 +41,7 @@
             Command::Check(command) => command.run(),
             Command::Demo(command) => command.run(),
             Command::HashToken(command) => command.run(),
+            Command::Host(command) => command.run(),
             Command::Measure(command) => command.run(),
             Command::Serve(command) => command.run(),
             Command::Settings(command) => command.run(),
--- /dev/null
+++ b/lib/src/coordination/gateway/mod.rs
@@ -0,0 +1,120 @@
+//! The gateway's decisions: which requests are served, where they go, what is sent again.
+//!
+//! [`Gateway`] takes times and messages as input and returns decisions as values. It reads no
+//! clock, opens no socket and starts no thread; the transport and the tests drive it alike.
+
+pub(crate) mod request;
+pub(crate) mod beliefs;
+pub(crate) mod peers;
+pub(crate) mod place;
+pub(crate) mod queue;
+pub(crate) mod refusal;
+pub(crate) mod resend;
+pub(crate) mod servers;
+
+pub use request::*;
+pub use beliefs::*;
+pub use peers::*;
+pub use place::*;
+pub use queue::*;
+pub use refusal::*;
+pub use resend::*;
+pub use servers::*;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::state::BudgetBounds;
+use crate::state::Catalog;
+use crate::state::Freshness;
+use crate::state::LoadBoard;
+use crate::state::Moment;
+use crate::state::SendBudget;
+use crate::state::ServerHealth;
+use crate::state::ServerId;
+use crate::state::ServerLoad;
+use crate::state::ServiceName;
+use crate::state::ZoneName;
+
+/// What the gateway decides by; the platform publishes these bounds.
+#[derive(Debug, Clone, PartialEq)]
+pub struct GatewayBounds {
+    /// This host's availability zone.
+    pub zone: ZoneName,
+    /// The time after which a revoked key must be refused everywhere.
+    pub revoke: Duration,
+    /// The bounds of repeated sends.
+    pub budget: BudgetBounds,
+}
+
+/// The decisions of one entry host.
+#[derive(Debug)]
+pub struct Gateway {
+    bounds: GatewayBounds,
+    catalog: Option<Arc<Catalog>>,
+    freshness: Freshness,
+    servers: ServerList,
+    board: LoadBoard,
+    health: HashMap<ServerId, ServerHealth>,
+    budgets: HashMap<ServiceName, SendBudget>,
+    peers: Peers,
+    queue: WaitQueue,
+    next_send: u64,
+    random: SmallRng,
+}
+
+impl Gateway {
+    /// Makes a gateway that knows no configuration and no server yet; `seed` feeds its random
+    /// choices and names this start of it among its peers.
+    pub fn new(bounds: GatewayBounds, seed: u64) -> Gateway {
+        Gateway {
+            freshness: Freshness::new(bounds.revoke),
+            bounds,
+            catalog: None,
+            servers: ServerList::default(),
+            board: LoadBoard::default(),
+            health: HashMap::new(),
+            budgets: HashMap::new(),
+            peers: Peers::new(seed),
+            queue: WaitQueue::default(),
+            next_send: 0,
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub fn catalog(&self) -> Option<&Arc<Catalog>> {
+        self.catalog.as_ref()
+    }
+
+    /// Returns the servers that are known.
+    pub fn servers(&self) -> &ServerList {
+        &self.servers
+    }
+
+    /// Returns the load of a server over all hosts.
+    pub fn load(&self, server: &ServerId, now: Moment) -> ServerLoad {
+        self.board.load(server, now)
+    }
+
+    /// Takes new bounds from reloaded settings.
+    pub fn set_bounds(&mut self, bounds: GatewayBounds) {
+        self.freshness.set_bound(bounds.revoke);
+        self.bounds = bounds;
+    }
+
+    fn budget(&mut self, service: &ServiceName) -> &mut SendBudget {
+        let bounds = self.bounds.budget;
+        self.budgets.entry(service.clone()).or_insert_with(|| SendBudget::new(bounds))
+    }
+
+    fn is_doubtful(&self, server: &ServerId, now: Moment) -> bool {
+        self.health
+            .get(server)
+            .is_some_and(|health| health.is_avoided(now) || health.is_doubtful())
+    }
+}
--- /dev/null
+++ b/lib/src/coordination/gateway/place.rs
@@ -0,0 +1,311 @@
+//! Where a request goes now: to a server, into the queue, or back to its caller.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::GatewayRequest;
+use super::Gateway;
+use super::GatewayRefusal;
+use super::RefusalReason;
+use crate::state::GroupCandidate;
+use crate::state::ChoiceOutcome;
+use crate::state::EngineAsk;
+use crate::state::EngineProfile;
+use crate::state::GroupChoice;
+use crate::state::Moment;
+use crate::state::PauseClass;
+use crate::state::PromptSize;
+use crate::state::SendId;
+use crate::state::Server;
+use crate::state::Share;
+use crate::state::choose_group;
+use crate::state::prompt_worth;
+
+/// How much later than expected a first event may come before the request is sent elsewhere: twice
+/// the expected time and this.
+const FIRST_EVENT_SLACK: Duration = Duration::from_millis(600);
+/// How long a plain service may take for a request that can be repeated, before it is sent to
+/// another server: well over what nearly all of these calls take.
+const REPEAT_AFTER: Duration = Duration::from_millis(350);
+/// The shortest and longest time after which a refused caller is asked to come back.
+const BACK_LEAST: Duration = Duration::from_millis(250);
+const BACK_MOST: Duration = Duration::from_secs(5);
+/// The shortest time between two looks at a waiting request.
+const LOOK_LEAST: Duration = Duration::from_millis(8);
+/// The longest time between two looks at a waiting request.
+const LOOK_MOST: Duration = Duration::from_millis(60);
+/// The least time that sending to a server is worth trying for.
+const LEAST_TIME: Duration = Duration::from_millis(20);
+/// Urgency that engines are told: requests that are sensitive to pauses are admitted first.
+const TIGHT_URGENCY: u8 = 2;
+const LOOSE_URGENCY: u8 = 5;
+
+/// One send of a request to a server.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Dispatch {
+    /// Names this send in the load board.
+    pub send: SendId,
+    /// The server.
+    pub server: Server,
+    /// The engines that read the prompt with it.
+    pub helpers: Vec<Server>,
+    /// How long the server may work from now.
+    pub time_left: Duration,
+    /// When the first part of the answer is expected, from now.
+    pub expected: Duration,
+    /// When the request is given up at this server without any part of an answer.
+    pub silence_limit: Moment,
+    /// How urgent the server is told that it is; 0 is first.
+    pub urgency: Option<u8>,
+}
+
+/// What happens to a request now.
+#[derive(Debug, Clone, PartialEq)]
+pub enum GatewayPlacement {
+    /// It is sent to a server.
+    Send(Box<Dispatch>),
+    /// It waits here; it is to be placed anew after this time, or when a request ends.
+    Wait(Duration),
+    /// It gets its final answer.
+    Refuse(GatewayRefusal),
+}
+
+impl Gateway {
+    /// Decides where `ask` goes now.
+    pub fn place(&mut self, now: Moment, ask: &mut GatewayRequest) -> GatewayPlacement {
+        if (now + LEAST_TIME) >= ask.deadline {
+            return self.refuse(ask, self.out_of_time(ask));
+        }
+        let servers: Vec<Server> =
+            self.servers.of_service(&ask.service).into_iter().cloned().collect();
+        if servers.is_empty() {
+            let back = GatewayRefusal::come_back(RefusalReason::NoServer, BACK_LEAST * 2);
+            return self.refuse(ask, back);
+        }
+        let untried: Vec<Server> =
+            servers.iter().filter(|one| !ask.tried.contains(&one.id)).cloned().collect();
+        let open = if untried.is_empty() { servers } else { untried };
+        let usable: Vec<Server> =
+            open.iter().filter(|one| !self.is_avoided(one, now)).cloned().collect();
+        let usable = if usable.is_empty() { open } else { usable };
+        let profile = self.catalog.as_ref().and_then(|catalog| {
+            catalog.service(&ask.service).and_then(|service| service.engine)
+        });
+        match (profile, ask.size) {
+            (Some(profile), Some(size)) => self.place_at_engines(now, ask, &profile, size, &usable),
+            _ => self.place_at_server(now, ask, usable),
+        }
+    }
+
+    /// Removes `ask` from the queue, if it waits there.
+    pub fn leave_queue(&mut self, ask: &mut GatewayRequest) {
+        if let Some(ticket) = ask.waiting.take() {
+            self.queue.leave(ticket);
+        }
+    }
+
+    /// Notes that the first part of a dispatch's answer came.
+    pub fn first_event(&mut self, now: Moment, dispatch: &Dispatch) {
+        for server in std::iter::once(&dispatch.server).chain(&dispatch.helpers) {
+            self.board.finish_reading(&server.id, dispatch.send, now);
+        }
+    }
+
+    /// Notes that a dispatch is over, whatever became of it.
+    pub fn finish(&mut self, now: Moment, dispatch: &Dispatch) {
+        for server in std::iter::once(&dispatch.server).chain(&dispatch.helpers) {
+            self.board.finish(&server.id, dispatch.send, now);
+        }
+    }
+
+    /// Returns the number of requests that wait here.
+    pub fn queue_len(&self) -> usize {
+        self.queue.len()
+    }
+
+    fn refuse(&mut self, ask: &mut GatewayRequest, refusal: GatewayRefusal) -> GatewayPlacement {
+        self.leave_queue(ask);
+        GatewayPlacement::Refuse(refusal)
+    }
+
+    pub(crate) fn out_of_time(&self, ask: &GatewayRequest) -> GatewayRefusal {
+        if ask.may_have_run() {
+            return GatewayRefusal::new(RefusalReason::ServerTimeout);
+        }
+        GatewayRefusal::come_back(RefusalReason::WaitedTooLong, BACK_LEAST)
+    }
+
+    fn is_avoided(&self, server: &Server, now: Moment) -> bool {
+        self.health.get(&server.id).is_some_and(|health| health.is_avoided(now))
+    }
+
+    fn place_at_engines(
+        &mut self,
+        now: Moment,
+        ask: &mut GatewayRequest,
+        profile: &EngineProfile,
+        size: PromptSize,
+        servers: &[Server],
+    ) -> GatewayPlacement {
+        let reading = profile.read_time(size.prompt);
+        let worth = prompt_worth(size.prompt);
+        let ahead = self.queue.ahead_of(now, ask.waiting, worth, reading);
+        let candidates: Vec<GroupCandidate> = servers
+            .iter()
+            .map(|server| {
+                let load = self.board.load(&server.id, now);
+                GroupCandidate { load, doubtful: load.doubtful || self.is_doubtful(&server.id, now) }
+            })
+            .collect();
+        let engine_ask = EngineAsk {
+            size,
+            pauses: ask.pauses(),
+            on_time: ask.on_time(now),
+            give_up: ask.give_up.since(now),
+        };
+        let outcome = choose_group(profile, &engine_ask, &candidates);
+        let queued = ahead + self.peers.queued(now);
+        let queue_time = queued / candidates.len().max(1) as u32;
+        let is_loose = engine_ask.pauses == PauseClass::Loose;
+        match outcome {
+            ChoiceOutcome::Send(choice) if !is_loose || ahead.is_zero() => {
+                self.leave_queue(ask);
+                self.send_to_group(now, ask, profile, size, servers, &choice)
+            }
+            ChoiceOutcome::Send(_) => self.wait(now, ask, worth, reading, LOOK_LEAST, queue_time),
+            ChoiceOutcome::Wait(time) => self.wait(now, ask, worth, reading, time, queue_time),
+            ChoiceOutcome::Hopeless(time) => {
+                let back = (time + queue_time).clamp(BACK_LEAST, BACK_MOST);
+                let refusal = GatewayRefusal::come_back(RefusalReason::Overload, back);
+                self.refuse(ask, not_run_only(ask, refusal))
+            }
+            ChoiceOutcome::TooLarge => {
+                let refusal = GatewayRefusal::new(RefusalReason::PromptTooLarge);
+                self.refuse(ask, refusal)
+            }
+            ChoiceOutcome::NoEngine => {
+                let refusal = GatewayRefusal::come_back(RefusalReason::NoServer, BACK_LEAST);
+                self.refuse(ask, not_run_only(ask, refusal))
+            }
+        }
+    }
+
+    /// Lets `ask` wait, or refuses it if its caller leaves before its turn.
+    fn wait(
+        &mut self,
+        now: Moment,
+        ask: &mut GatewayRequest,
+        worth: f64,
+        reading: Duration,
+        time: Duration,
+        queue_time: Duration,
+    ) -> GatewayPlacement {
+        let left = ask.give_up.min(ask.deadline).since(now);
+        if time + queue_time > left {
+            let back = (time + queue_time).clamp(BACK_LEAST, BACK_MOST);
+            let refusal = GatewayRefusal::come_back(RefusalReason::Overload, back);
+            return self.refuse(ask, not_run_only(ask, refusal));
+        }
+        if ask.waiting.is_none() {
+            ask.waiting = Some(self.queue.enter(now, worth, reading));
+        }
+        GatewayPlacement::Wait(time.clamp(LOOK_LEAST, LOOK_MOST))
+    }
+
+    fn send_to_group(
+        &mut self,
+        now: Moment,
+        ask: &mut GatewayRequest,
+        profile: &EngineProfile,
+        size: PromptSize,
+        servers: &[Server],
+        choice: &GroupChoice,
+    ) -> GatewayPlacement {
+        let first = servers[choice.first].clone();
+        let helpers: Vec<Server> =
+            choice.helpers.iter().map(|position| servers[*position].clone()).collect();
+        let part = profile.read_time(size.prompt) / (helpers.len() as u32 + 1);
+        let send = self.new_send();
+        let tokens = size.prompt + size.answer.min(profile.usual_answer * 3);
+        let share = Share { reading: part, tokens, writes: Some(ask.pauses()) };
+        self.board.start(&first.id, send, share, now);
+        for helper in &helpers {
+            let share = Share { reading: part, tokens: 0, writes: None };
+            self.board.start(&helper.id, send, share, now);
+        }
+        let expected = choice.first_event;
+        let urgency = match ask.pauses() {
+            PauseClass::Tight => TIGHT_URGENCY,
+            PauseClass::Loose => LOOSE_URGENCY,
+        };
+        let limit = now + expected * 2 + FIRST_EVENT_SLACK;
+        self.dispatch(now, ask, send, first, helpers, expected, limit, Some(urgency))
+    }
+
+    /// Sends `ask` to the server that has the fewest requests for its slots.
+    fn place_at_server(&mut self, now: Moment, ask: &mut GatewayRequest, servers: Vec<Server>) -> GatewayPlacement {
+        let zone = self.bounds.zone.clone();
+        let mut scored: Vec<(f64, Server)> = Vec::new();
+        for server in servers {
+            let load = self.board.load(&server.id, now);
+            let mut score = f64::from(load.running()) / f64::from(server.slots.max(1));
+            if load.doubtful || self.is_doubtful(&server.id, now) {
+                score += 2.0;
+            }
+            if server.zone != zone {
+                score += 0.05;
+            }
+            scored.push((score + self.random.random_range(0.0..0.02), server));
+        }
+        scored.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let Some((_, server)) = scored.into_iter().next() else {
+            let refusal = GatewayRefusal::come_back(RefusalReason::NoServer, BACK_LEAST);
+            return self.refuse(ask, refusal);
+        };
+        let send = self.new_send();
+        let share =
+            Share { reading: Duration::ZERO, tokens: 0, writes: Some(PauseClass::Loose) };
+        self.board.start(&server.id, send, share, now);
+        let can_repeat = ask.is_repeatable() && ask.sends + 1 < ask.route.attempts;
+        let limit = if can_repeat { now + REPEAT_AFTER } else { ask.deadline };
+        self.dispatch(now, ask, send, server, Vec::new(), Duration::ZERO, limit, None)
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn dispatch(
+        &mut self,
+        now: Moment,
+        ask: &mut GatewayRequest,
+        send: SendId,
+        server: Server,
+        helpers: Vec<Server>,
+        expected: Duration,
+        limit: Moment,
+        urgency: Option<u8>,
+    ) -> GatewayPlacement {
+        ask.tried.push(server.id.clone());
+        let time_left = ask.deadline.since(now);
+        let silence_limit = limit.min(ask.deadline);
+        GatewayPlacement::Send(Box::new(Dispatch {
+            send,
+            server,
+            helpers,
+            time_left,
+            expected,
+            silence_limit,
+            urgency,
+        }))
+    }
+
+    fn new_send(&mut self) -> SendId {
+        self.next_send += 1;
+        SendId(self.next_send)
+    }
+}
+
+/// Turns a refusal that promises "not run" into one that promises nothing, if some server may have
+/// run the request.
+pub(crate) fn not_run_only(ask: &GatewayRequest, refusal: GatewayRefusal) -> GatewayRefusal {
+    if ask.may_have_run() { GatewayRefusal::new(RefusalReason::AnswerLost) } else { refusal }
+}
--- /dev/null
+++ b/lib/src/coordination/gateway/servers.rs
@@ -0,0 +1,114 @@
+//! The list of live servers, as the platform publishes it.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::state::Moment;
+use crate::state::Server;
+use crate::state::ServerId;
+use crate::state::ServiceName;
+
+/// How long a server that is missing from the list after an outage of the store may stay in use.
+/// Servers that live are listed again within two seconds of the store's return.
+const RELIST_GRACE: Duration = Duration::from_millis(1_700);
+
+/// A change of the list of servers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ServerChange {
+    /// A server is listed for the first time, or listed differently.
+    Listed(Server),
+    /// The entry of the server with this published id was removed.
+    Removed(String),
+}
+
+/// The servers that are listed, by published id.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ServerList {
+    servers: BTreeMap<String, Server>,
+    missing: HashMap<String, Moment>,
+}
+
+impl ServerList {
+    /// Applies one change; returns whether something differs now.
+    pub fn apply(&mut self, change: ServerChange) -> bool {
+        match change {
+            ServerChange::Listed(server) => {
+                let id = server.id.id.to_string();
+                self.missing.remove(&id);
+                self.servers.insert(id, server.clone()) != Some(server)
+            }
+            ServerChange::Removed(id) => {
+                self.missing.remove(&id);
+                self.servers.remove(&id).is_some()
+            }
+        }
+    }
+
+    /// Replaces the whole list. After an outage of the store, `had_outage`, servers that are not in
+    /// it stay for a while, since entries that lapsed meanwhile come back.
+    pub fn replace(&mut self, listed: Vec<Server>, had_outage: bool, now: Moment) {
+        let mut servers: BTreeMap<String, Server> =
+            listed.into_iter().map(|server| (server.id.id.to_string(), server)).collect();
+        self.missing.retain(|id, _| !servers.contains_key(id));
+        for (id, server) in std::mem::take(&mut self.servers) {
+            if servers.contains_key(&id) {
+                continue;
+            }
+            let since = match self.missing.get(&id) {
+                Some(since) => *since,
+                None if had_outage => now,
+                None => continue,
+            };
+            if now.since(since) < RELIST_GRACE {
+                self.missing.insert(id.clone(), since);
+                servers.insert(id, server);
+            }
+        }
+        self.servers = servers;
+        self.drop_missing(now);
+    }
+
+    /// Removes the servers that did not come back to the list in time; returns their number.
+    pub fn drop_missing(&mut self, now: Moment) -> usize {
+        let before = self.servers.len();
+        let is_over = |since: &Moment| now.since(*since) >= RELIST_GRACE;
+        self.servers.retain(|id, _| !self.missing.get(id).is_some_and(is_over));
+        self.missing.retain(|_, since| !is_over(since));
+        before - self.servers.len()
+    }
+
+    /// Returns whether servers are missing that may still come back to the list.
+    pub fn has_missing(&self) -> bool {
+        !self.missing.is_empty()
+    }
+
+    /// Returns the servers of `service` that take requests, in an order that all hosts share.
+    pub fn of_service(&self, service: &ServiceName) -> Vec<&Server> {
+        let takes = |server: &&Server| server.service == *service && !server.draining;
+        self.servers.values().filter(takes).collect()
+    }
+
+    /// Returns the server of `service` that listens on `address`.
+    pub fn at_address(&self, address: &str, service: &ServiceName) -> Option<&ServerId> {
+        self.servers
+            .values()
+            .find(|server| server.service == *service && server.address.to_string() == address)
+            .map(|server| &server.id)
+    }
+
+    /// Returns whether this start of the server is listed.
+    pub fn contains(&self, id: &ServerId) -> bool {
+        self.servers.get(&*id.id).is_some_and(|server| server.id == *id)
+    }
+
+    /// Returns the number of servers.
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Returns whether no server is listed.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+}
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod config_spread;
 pub(crate) mod config_spread_delta;
 mod config_spread_reader;
+pub(crate) mod gateway;
 pub(crate) mod home;
 mod home_decide;
 mod home_forward;
@@ -20,6 +21,7 @@
 
 pub use config_spread::*;
 pub use config_spread_delta::*;
+pub use gateway::*;
 pub use home::*;
 pub use lease::SHARDS;
 pub use lease::shard_of;
--- /dev/null
+++ b/lib/src/protocol/gateway/mod.rs
@@ -0,0 +1,9 @@
+//! Protocol of the gateway: its settings, the messages between entry hosts, and events of streams.
+
+pub(crate) mod event_splitter;
+pub(crate) mod load_wire;
+pub(crate) mod settings;
+
+pub use event_splitter::*;
+pub use load_wire::*;
+pub use settings::*;
--- /dev/null
+++ b/lib/src/protocol/gateway/settings.rs
@@ -0,0 +1,195 @@
+//! The settings of a gateway process: a JSON file that is read at its start and on reload.
+
+use std::fmt;
+use std::fs;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::coordination::GatewayBounds;
+use crate::protocol::LogLevel;
+use crate::state::BudgetBounds;
+use crate::state::ZoneName;
+
+/// The longest time of any setting, in seconds.
+const MAX_SECONDS: f64 = 3_600.0;
+
+/// The settings of one gateway process.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// The name of this entry host.
+    pub host: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// The address for callers.
+    pub callers: SocketAddrV4,
+    /// The address at which the balancer asks whether new connections should come here.
+    pub health: SocketAddrV4,
+    /// The port for messages between entry hosts, by UDP; the same on all hosts.
+    pub peer_port: u16,
+    /// Addresses of some entry hosts, of which the IP number counts.
+    pub seeds: Vec<SocketAddrV4>,
+    /// The port of the metrics.
+    pub metrics_port: u16,
+    /// The platform's store.
+    pub store: SocketAddrV4,
+    /// The memory that this process may use, in megabytes.
+    pub memory_mb: u64,
+    /// The descriptors that this process may use.
+    pub descriptors: u64,
+    /// The time between SIGTERM and SIGKILL, in seconds.
+    pub grace_s: f64,
+    /// The time after which a revoked key must be refused, in milliseconds.
+    pub revoke_ms: f64,
+    /// Repeated sends for each request.
+    pub repeat_ratio: f64,
+    /// Repeated sends that are allowed whatever the number of requests.
+    pub repeat_slack: f64,
+    /// The window in which repeated sends are counted, in seconds.
+    pub repeat_window_s: f64,
+    /// The least serious log lines that are written.
+    #[serde(default)]
+    pub log_level: SettingsLevel,
+}
+
+/// The least serious log lines that are written.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum SettingsLevel {
+    /// Failures.
+    Error,
+    /// Also what may become a failure.
+    Warning,
+    /// Also every decision.
+    #[default]
+    Info,
+    /// Also what helps to find a fault in the product.
+    Debug,
+}
+
+impl From<SettingsLevel> for LogLevel {
+    fn from(level: SettingsLevel) -> LogLevel {
+        match level {
+            SettingsLevel::Error => LogLevel::Error,
+            SettingsLevel::Warning => LogLevel::Warning,
+            SettingsLevel::Info => LogLevel::Info,
+            SettingsLevel::Debug => LogLevel::Debug,
+        }
+    }
+}
+
+/// Why a settings file cannot be used.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum GatewaySettingsError {
+    /// The file cannot be read.
+    Unreadable(String),
+    /// It is not JSON of the right form; the message names the place.
+    Malformed(String),
+    /// A field has a value that cannot be used.
+    BadValue {
+        /// The field.
+        field: &'static str,
+        /// What was found and what was expected.
+        message: String,
+    },
+}
+
+impl fmt::Display for GatewaySettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            GatewaySettingsError::Unreadable(message) => {
+                write!(f, "the settings cannot be read: {message}")
+            }
+            GatewaySettingsError::Malformed(message) => {
+                write!(f, "the settings are malformed: {message}")
+            }
+            GatewaySettingsError::BadValue { field, message } => {
+                write!(f, "the settings field {field} {message}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for GatewaySettingsError {}
+
+impl GatewaySettings {
+    /// Reads and checks the settings in the file at `path`.
+    pub fn read(path: &Path) -> Result<GatewaySettings, GatewaySettingsError> {
+        let text = fs::read_to_string(path).map_err(|error| {
+            GatewaySettingsError::Unreadable(format!("{}: {error}", path.display()))
+        })?;
+        GatewaySettings::parse(&text)
+    }
+
+    /// Reads and checks settings from JSON text.
+    ///
+    /// ```
+    /// use wasabicrank_lib::protocol::{GatewaySettings, GatewaySettingsError};
+    /// let error = GatewaySettings::parse("{}").unwrap_err();
+    /// assert!(matches!(error, GatewaySettingsError::Malformed(_)));
+    /// ```
+    pub fn parse(text: &str) -> Result<GatewaySettings, GatewaySettingsError> {
+        let settings: GatewaySettings = serde_json::from_str(text)
+            .map_err(|error| GatewaySettingsError::Malformed(error.to_string()))?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), GatewaySettingsError> {
+        let bad = |field, message: String| Err(GatewaySettingsError::BadValue { field, message });
+        if self.host.is_empty() {
+            return bad("host", "is empty; a name is expected".to_owned());
+        }
+        let ports = [("peer_port", self.peer_port), ("metrics_port", self.metrics_port)];
+        for (field, port) in ports {
+            if port == 0 {
+                return bad(field, "is 0; a port from 1 to 65535 is expected".to_owned());
+            }
+        }
+        let spans = [
+            ("grace_s", self.grace_s),
+            ("revoke_ms", self.revoke_ms / 1_000.0),
+            ("repeat_window_s", self.repeat_window_s),
+        ];
+        for (field, seconds) in spans {
+            if !(seconds > 0.0 && seconds <= MAX_SECONDS) {
+                let message = format!("stands for {seconds} s; over 0 and up to 1 h is expected");
+                return bad(field, message);
+            }
+        }
+        let counts = [("repeat_ratio", self.repeat_ratio), ("repeat_slack", self.repeat_slack)];
+        for (field, value) in counts {
+            if !(value >= 0.0 && value.is_finite()) {
+                return bad(field, format!("is {value}; a number from 0 is expected"));
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the bounds that the gateway decides by.
+    pub fn bounds(&self) -> GatewayBounds {
+        GatewayBounds {
+            zone: ZoneName::new(self.zone.as_str()),
+            revoke: Duration::from_secs_f64(self.revoke_ms / 1_000.0),
+            budget: BudgetBounds {
+                ratio: self.repeat_ratio,
+                slack: self.repeat_slack,
+                window: Duration::from_secs_f64(self.repeat_window_s),
+            },
+        }
+    }
+
+    /// Returns the IP number of this host.
+    pub fn ip(&self) -> Ipv4Addr {
+        *self.callers.ip()
+    }
+
+    /// Returns the time between SIGTERM and SIGKILL.
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_s)
+    }
+}
--- /dev/null
+++ b/lib/src/state/gateway/budget.rs
@@ -0,0 +1,90 @@
+//! The budget for sends beyond the first of a request, which all entry hosts share without asking.
+//!
+//! A service may get `ratio` times its requests, and some more, as repeated sends in any window.
+//! The part that grows with the requests needs no division: each host counts its own. The constant
+//! part is divided among more hosts than there are, so that restarted hosts, which begin a new
+//! count, stay within it.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::state::Moment;
+
+/// What part of the published ratio a host spends. The rest covers requests that the platform
+/// counts in another window than this host.
+const RATIO_PART: f64 = 0.7;
+
+/// How many starts of hosts the constant part is divided among. Today's deployments have four to
+/// eight hosts; each may start more than once in a window.
+const SHARES: f64 = 16.0;
+
+/// The published bounds of repeated sends.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetBounds {
+    /// Repeated sends for each request.
+    pub ratio: f64,
+    /// Repeated sends that are allowed whatever the number of requests.
+    pub slack: f64,
+    /// The window in which both are counted.
+    pub window: Duration,
+}
+
+/// Counts the requests and the repeated sends of one service in a sliding window.
+#[derive(Debug, Clone)]
+pub struct SendBudget {
+    bounds: BudgetBounds,
+    requests: VecDeque<Moment>,
+    repeats: VecDeque<Moment>,
+}
+
+impl SendBudget {
+    /// Makes an empty count.
+    pub fn new(bounds: BudgetBounds) -> SendBudget {
+        SendBudget { bounds, requests: VecDeque::new(), repeats: VecDeque::new() }
+    }
+
+    /// Counts a request that a caller sent.
+    pub fn count_request(&mut self, now: Moment) {
+        self.expire(now);
+        self.requests.push_back(now);
+    }
+
+    /// Takes one repeated send from the budget; returns whether there was one left.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use wasabicrank_lib::state::{BudgetBounds, Moment, SendBudget};
+    /// let window = Duration::from_secs(10);
+    /// let mut budget = SendBudget::new(BudgetBounds { ratio: 0.2, slack: 32.0, window });
+    /// assert!(budget.take_repeat(Moment(0)));
+    /// assert!(budget.take_repeat(Moment(0)));
+    /// assert!(!budget.take_repeat(Moment(0)));
+    /// assert!(budget.take_repeat(Moment(11_000_000)));
+    /// ```
+    pub fn take_repeat(&mut self, now: Moment) -> bool {
+        if self.left(now) < 1.0 {
+            return false;
+        }
+        self.repeats.push_back(now);
+        true
+    }
+
+    /// Returns how many repeated sends are left now.
+    pub fn left(&mut self, now: Moment) -> f64 {
+        self.expire(now);
+        let allowed = self.bounds.ratio * RATIO_PART * self.requests.len() as f64
+            + self.bounds.slack / SHARES;
+        allowed - self.repeats.len() as f64
+    }
+
+    fn expire(&mut self, now: Moment) {
+        let window = self.bounds.window;
+        let is_old = |at: &Moment| now.since(*at) > window;
+        while self.requests.front().is_some_and(is_old) {
+            self.requests.pop_front();
+        }
+        while self.repeats.front().is_some_and(is_old) {
+            self.repeats.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/transport/gateway/fleet_source.rs
@@ -0,0 +1,71 @@
+//! The border to the source of the configuration and of the list of servers.
+
+use std::future::Future;
+use std::pin::Pin;
+
+use tokio::sync::mpsc;
+
+use crate::coordination::ServerChange;
+use crate::state::Catalog;
+use crate::state::Moment;
+use crate::state::Server;
+
+/// How many updates may wait for the gateway.
+pub(crate) const UPDATE_RING: usize = 64;
+
+/// What a source tells the gateway.
+#[derive(Debug)]
+pub enum FleetUpdate {
+    /// A configuration, as a read sent at `sent` returned it.
+    Catalog {
+        /// The configuration.
+        catalog: Box<Catalog>,
+        /// When the read was sent.
+        sent: Moment,
+    },
+    /// A read sent at `sent` showed that this version is still the newest.
+    CatalogVerified {
+        /// The version.
+        version: u64,
+        /// When the read was sent.
+        sent: Moment,
+    },
+    /// A configuration that cannot be used, and why.
+    CatalogRejected(String),
+    /// The whole list of servers.
+    Servers {
+        /// The servers.
+        listed: Vec<Server>,
+        /// The source's revision of the list.
+        revision: u64,
+        /// Whether the source was away before.
+        had_outage: bool,
+    },
+    /// One change of the list.
+    Server {
+        /// The change.
+        change: ServerChange,
+        /// The source's revision at which it happened.
+        revision: u64,
+    },
+    /// An entry that names no usable server, and why; the others hold.
+    EntrySkipped {
+        /// The entry's key.
+        key: String,
+        /// What is wrong with it.
+        fault: String,
+    },
+    /// The source no longer answers, and what was seen.
+    SourceLost(String),
+    /// The source answers again.
+    SourceBack,
+}
+
+/// A task that runs as long as the process.
+pub type LocalTask = Pin<Box<dyn Future<Output = ()>>>;
+
+/// Follows the configuration and the list of servers.
+pub trait FleetSource {
+    /// Follows the source and sends what it tells to `updates`, until that is closed.
+    fn follow(self: Box<Self>, updates: mpsc::Sender<FleetUpdate>) -> LocalTask;
+}
--- /dev/null
+++ b/lib/src/transport/gateway/listener.rs
@@ -0,0 +1,190 @@
+//! Accepts connections: of callers, of the balancer's readiness checks and for metrics.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use super::answer_body::AnswerBody;
+use super::context::GatewayContext;
+use super::exchange;
+
+/// The connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// The pause after a connection could not be accepted, so that a lack of descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// The largest head and idle time where no configuration says more.
+const DEFAULT_HEAD: usize = 64 * 1024;
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+/// The smallest buffer that the HTTP library takes.
+const LEAST_BUFFER: usize = 8 * 1024;
+/// How much longer an idle connection stays open than callers use it, so that they never meet its
+/// close.
+const IDLE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Listens on `address`.
+pub(crate) fn listen(address: SocketAddrV4) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(SocketAddr::V4(address))?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts callers until `closing` says that idle connections are to be closed.
+pub(crate) async fn accept_callers(
+    ctx: Rc<GatewayContext>,
+    listener: TcpListener,
+    closing: watch::Receiver<bool>,
+    max_connections: usize,
+) {
+    loop {
+        if ctx.connections.get() >= max_connections {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        }
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let connection = serve_caller(ctx.clone(), stream, closing.clone());
+                tokio::task::spawn_local(connection);
+            }
+            Err(error) => {
+                warn!(ctx.telemetry.log(), "a connection cannot be accepted"; "error" => %error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+struct OpenConnection(Rc<GatewayContext>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get().saturating_sub(1));
+    }
+}
+
+async fn serve_caller(
+    ctx: Rc<GatewayContext>,
+    stream: TcpStream,
+    mut closing: watch::Receiver<bool>,
+) {
+    ctx.connections.set(ctx.connections.get() + 1);
+    let _open = OpenConnection(ctx.clone());
+    if let Err(error) = stream.set_nodelay(true) {
+        warn!(ctx.telemetry.log(), "a connection broke off at once"; "error" => %error);
+        return;
+    }
+    let (head_limit, idle) = match ctx.gateway.borrow().catalog() {
+        Some(catalog) => (catalog.limits().head_bytes, catalog.limits().idle_timeout),
+        None => (DEFAULT_HEAD, DEFAULT_IDLE),
+    };
+    let service = {
+        let ctx = ctx.clone();
+        service_fn(move |request: Request<Incoming>| exchange::serve(ctx.clone(), request))
+    };
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle + IDLE_MARGIN)
+        .max_buf_size(head_limit.max(LEAST_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let done = tokio::select! {
+        done = connection.as_mut() => Some(done),
+        _ = closing.wait_for(|is_closing| *is_closing) => None,
+    };
+    // An error here is a caller that left or an answer that was cut, which the exchange has logged.
+    let _ = match done {
+        Some(done) => done,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+}
+
+/// Answers the balancer's question whether new connections should come here.
+pub(crate) async fn accept_readiness(ctx: Rc<GatewayContext>, listener: TcpListener) {
+    accept_small(ctx, listener, |ctx, _| {
+        let is_ready = !ctx.is_stopping.get() && ctx.gateway.borrow().is_ready(ctx.now());
+        let mut response = Response::new(AnswerBody::whole(""));
+        if !is_ready {
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        response
+    })
+    .await;
+}
+
+/// Answers with the metrics.
+pub(crate) async fn accept_metrics(ctx: Rc<GatewayContext>, listener: TcpListener) {
+    accept_small(ctx, listener, |ctx, request| {
+        if request.uri().path() != "/metrics" {
+            let mut response = Response::new(AnswerBody::whole("only /metrics is here\n"));
+            *response.status_mut() = StatusCode::NOT_FOUND;
+            return response;
+        }
+        renew_gauges(ctx);
+        Response::new(AnswerBody::whole(ctx.telemetry.render()))
+    })
+    .await;
+}
+
+fn renew_gauges(ctx: &GatewayContext) {
+    let now = ctx.now();
+    let gateway = ctx.gateway.borrow();
+    let gauges = &ctx.telemetry.gauges;
+    gauges.catalog_version.set(gateway.catalog().map_or(0, |catalog| catalog.version() as i64));
+    gauges.catalog_age_ms.set(gateway.catalog_age(now).map_or(-1, |age| age.as_millis() as i64));
+    gauges.servers.set(gateway.servers().len() as i64);
+    gauges.peers.set(gateway.peer_count(now) as i64);
+    gauges.waiting.set(gateway.queue_len() as i64);
+    gauges.connections.set(ctx.connections.get() as i64);
+    gauges.buffered.set(ctx.buffered.get() as i64);
+}
+
+async fn accept_small(
+    ctx: Rc<GatewayContext>,
+    listener: TcpListener,
+    answer: impl Fn(&GatewayContext, &Request<Incoming>) -> Response<AnswerBody> + Copy + 'static,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!(ctx.telemetry.log(), "a connection cannot be accepted"; "error" => %error);
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let ctx = ctx.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let response = answer(&ctx, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(DEFAULT_IDLE)
+                .serve_connection(TokioIo::new(stream), service);
+            // The peer may close at any time; it asks again.
+            let _ = connection.await;
+        });
+    }
+}
--- /dev/null
+++ b/lib/src/transport/gateway/peer_socket.rs
@@ -0,0 +1,85 @@
+//! The datagrams between entry hosts.
+
+use std::io;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::info;
+use slog::warn;
+use tokio::net::UdpSocket;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+use tokio::time::timeout_at;
+
+use super::context::GatewayContext;
+use crate::coordination::PeerHeard;
+use crate::protocol::MAX_DATAGRAM;
+use crate::protocol::decode_summary;
+use crate::protocol::encode_summary;
+
+/// The longest pause between two summaries.
+const SUMMARY_INTERVAL: Duration = Duration::from_millis(400);
+/// The shortest pause between two summaries: a constant part and one for each peer, so that the
+/// datagrams that a host gets in a second do not grow with the number of hosts.
+const LEAST_PAUSE: Duration = Duration::from_millis(4);
+const PAUSE_PER_PEER: Duration = Duration::from_millis(3);
+
+/// Opens the socket for the peers' datagrams.
+pub(crate) async fn open(own: Ipv4Addr, port: u16) -> io::Result<Rc<UdpSocket>> {
+    Ok(Rc::new(UdpSocket::bind((own, port)).await?))
+}
+
+/// Sends summaries: when the load changes, and now and then.
+pub(crate) async fn send_summaries(ctx: Rc<GatewayContext>, socket: Rc<UdpSocket>, port: u16) {
+    loop {
+        let now = ctx.now();
+        let addresses = ctx.gateway.borrow().peer_addresses(now);
+        let summary = ctx.gateway.borrow_mut().peer_summary(now);
+        match encode_summary(&summary) {
+            Ok(datagram) => {
+                for address in &addresses {
+                    // A peer that is down or cut off is no fault here; the next summary is sent soon.
+                    let _ = socket.try_send_to(&datagram, (*address, port).into());
+                }
+            }
+            Err(error) => {
+                warn!(ctx.telemetry.log(), "a summary cannot be encoded"; "error" => %error);
+            }
+        }
+        let sent = Instant::now();
+        let pause = LEAST_PAUSE + PAUSE_PER_PEER * addresses.len() as u32;
+        // Running out of time is the regular summary.
+        let _ = timeout_at(sent + SUMMARY_INTERVAL, ctx.load_changed.notified()).await;
+        sleep_until(sent + pause.min(SUMMARY_INTERVAL)).await;
+    }
+}
+
+/// Takes the peers' summaries.
+pub(crate) async fn receive_summaries(ctx: Rc<GatewayContext>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            // An unreachable peer shows as an error of the next receive.
+            Err(_) => continue,
+        };
+        let SocketAddr::V4(from) = from else { continue };
+        let now = ctx.now();
+        match decode_summary(&buffer[..length]) {
+            Ok(summary) => {
+                let incarnation = summary.incarnation;
+                let heard = PeerHeard { from: *from.ip(), summary };
+                if ctx.gateway.borrow_mut().hear_peer(now, heard) {
+                    info!(ctx.telemetry.log(), "peer heard"; "peer" => %IpAddr::V4(*from.ip()),
+                        "incarnation" => incarnation);
+                }
+            }
+            Err(error) => {
+                warn!(ctx.telemetry.log(), "datagram dropped"; "peer" => %from, "error" => ?error);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/transport/gateway/process.rs
@@ -0,0 +1,314 @@
+//! The life of a gateway process: start, reload, planned stop.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::fmt;
+use std::io;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::random;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+use tokio::runtime::Builder;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use tokio::time::sleep;
+
+use super::clock::BootClock;
+use super::context::GatewayContext;
+use super::dialect::Dialect;
+use super::fleet_source::FleetSource;
+use super::fleet_source::FleetUpdate;
+use super::fleet_source::UPDATE_RING;
+use super::listener;
+use super::peer_socket;
+use super::telemetry::LineKind;
+use super::telemetry::Telemetry;
+use crate::coordination::CatalogChange;
+use crate::coordination::Gateway;
+use crate::protocol::GatewaySettings;
+
+/// The part of the memory that request bodies may take.
+const BODY_MEMORY_PART: u64 = 6;
+/// The descriptors that are kept for files, the log and the platform.
+const KEPT_DESCRIPTORS: u64 = 300;
+/// The part of the time to stop during which callers may go on using their open connections.
+const STOP_SERVE_PART: f64 = 0.5;
+/// The part of the time to stop after which the process ends whatever is still open.
+const STOP_END_PART: f64 = 0.93;
+/// How often a stopping process looks whether all connections are closed.
+const STOP_LOOK: Duration = Duration::from_millis(100);
+/// How often missing servers are looked for while there are any, and beliefs are checked.
+const TIDY_INTERVAL: Duration = Duration::from_millis(250);
+/// The threads that resolve nothing and read no files: the runtime needs none, but a limit.
+const BLOCKING_THREADS: usize = 1;
+
+/// Why a gateway process cannot run.
+#[derive(Debug)]
+pub enum GatewayError {
+    /// A runtime or signal handler cannot be made.
+    Runtime(io::Error),
+    /// An address cannot be listened on.
+    Listen {
+        /// What for.
+        purpose: &'static str,
+        /// The address.
+        address: String,
+        /// What the system says.
+        error: io::Error,
+    },
+}
+
+impl fmt::Display for GatewayError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            GatewayError::Runtime(error) => write!(f, "the process cannot be set up: {error}"),
+            GatewayError::Listen { purpose, address, error } => {
+                write!(f, "cannot listen for {purpose} on {address}: {error}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for GatewayError {}
+
+/// What a gateway is started with.
+pub struct GatewayParts {
+    /// The settings.
+    pub settings: GatewaySettings,
+    /// Where the settings are read again on reload.
+    pub path: PathBuf,
+    /// What callers and servers speak.
+    pub dialect: Box<dyn Dialect>,
+    /// The source of the configuration and of the list of servers.
+    pub source: Box<dyn FleetSource>,
+    /// The clock that `source` takes its moments from.
+    pub clock: BootClock,
+    /// The log.
+    pub log: Logger,
+}
+
+/// Runs a gateway until it is told to stop by SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// An address that cannot be listened on, or a runtime that cannot be made.
+pub fn run_gateway(parts: GatewayParts) -> Result<(), GatewayError> {
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .max_blocking_threads(BLOCKING_THREADS)
+        .build()
+        .map_err(GatewayError::Runtime)?;
+    LocalSet::new().block_on(&runtime, run(parts))
+}
+
+async fn run(parts: GatewayParts) -> Result<(), GatewayError> {
+    let GatewayParts { settings, path, dialect, source, clock, log } = parts;
+    let seed: u64 = random();
+    info!(log, "start"; "host" => &settings.host, "zone" => &settings.zone,
+        "version" => env!("CARGO_PKG_VERSION"), "incarnation" => seed);
+    let mut gateway = Gateway::new(settings.bounds(), seed);
+    set_seeds(&mut gateway, &settings);
+    let ctx = Rc::new(GatewayContext {
+        gateway: RefCell::new(gateway),
+        dialect,
+        clock,
+        telemetry: Telemetry::new(log),
+        room: Notify::new(),
+        load_changed: Notify::new(),
+        is_stopping: Cell::new(false),
+        buffered: Cell::new(0),
+        buffer_limit: (settings.memory_mb / BODY_MEMORY_PART) as usize * 1024 * 1024,
+        connections: Cell::new(0),
+    });
+    let (close, closing) = watch::channel(false);
+    start_listeners(&ctx, &settings, closing).await?;
+    let (updates, received) = mpsc::channel(UPDATE_RING);
+    tokio::task::spawn_local(source.follow(updates));
+    tokio::task::spawn_local(take_updates(ctx.clone(), received));
+    tokio::task::spawn_local(tidy(ctx.clone()));
+    tokio::task::spawn_local(reload_on_signal(ctx.clone(), path));
+    wait_for_stop().await?;
+    stop(&ctx, &settings, &close).await;
+    Ok(())
+}
+
+fn set_seeds(gateway: &mut Gateway, settings: &GatewaySettings) {
+    let seeds = settings.seeds.iter().map(|seed| *seed.ip()).collect();
+    gateway.set_seeds(settings.ip(), seeds);
+}
+
+async fn start_listeners(
+    ctx: &Rc<GatewayContext>,
+    settings: &GatewaySettings,
+    closing: watch::Receiver<bool>,
+) -> Result<(), GatewayError> {
+    let listen = |purpose, address| {
+        listener::listen(address).map_err(|error| GatewayError::Listen {
+            purpose,
+            address: std::net::SocketAddrV4::to_string(&address),
+            error,
+        })
+    };
+    let callers = listen("callers", settings.callers)?;
+    let health = listen("readiness checks", settings.health)?;
+    let metrics =
+        listen("metrics", std::net::SocketAddrV4::new(settings.ip(), settings.metrics_port))?;
+    let socket = peer_socket::open(settings.ip(), settings.peer_port).await.map_err(|error| {
+        let address = format!("{}:{}", settings.ip(), settings.peer_port);
+        GatewayError::Listen { purpose: "peers", address, error }
+    })?;
+    // A request takes one descriptor towards its caller and one towards a server.
+    let most = settings.descriptors.saturating_sub(KEPT_DESCRIPTORS).max(2) / 2;
+    let accept = listener::accept_callers(ctx.clone(), callers, closing, most as usize);
+    tokio::task::spawn_local(accept);
+    tokio::task::spawn_local(listener::accept_readiness(ctx.clone(), health));
+    tokio::task::spawn_local(listener::accept_metrics(ctx.clone(), metrics));
+    let port = settings.peer_port;
+    tokio::task::spawn_local(peer_socket::send_summaries(ctx.clone(), socket.clone(), port));
+    tokio::task::spawn_local(peer_socket::receive_summaries(ctx.clone(), socket));
+    Ok(())
+}
+
+async fn wait_for_stop() -> Result<(), GatewayError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(GatewayError::Runtime)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(GatewayError::Runtime)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Stops without cutting a request: new connections go elsewhere, open ones are used until callers
+/// leave or the time is half over, and then closed when their request is answered.
+async fn stop(ctx: &Rc<GatewayContext>, settings: &GatewaySettings, close: &watch::Sender<bool>) {
+    let grace = settings.grace();
+    info!(ctx.telemetry.log(), "stop begins"; "grace_ms" => grace.as_millis() as u64,
+        "connections" => ctx.connections.get());
+    ctx.is_stopping.set(true);
+    ctx.load_changed.notify_one();
+    sleep(grace.mul_f64(STOP_SERVE_PART)).await;
+    if close.send(true).is_err() {
+        info!(ctx.telemetry.log(), "no connection listens for the stop");
+    }
+    let mut left = grace.mul_f64(STOP_END_PART - STOP_SERVE_PART);
+    while ctx.connections.get() > 0 && !left.is_zero() {
+        sleep(STOP_LOOK).await;
+        left = left.saturating_sub(STOP_LOOK);
+    }
+    info!(ctx.telemetry.log(), "stop ends"; "connections" => ctx.connections.get());
+}
+
+/// Reads the settings again on SIGHUP. A file that cannot be used leaves the old settings in force.
+async fn reload_on_signal(ctx: Rc<GatewayContext>, path: PathBuf) {
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(error) => {
+            warn!(ctx.telemetry.log(), "SIGHUP cannot be received"; "error" => %error);
+            return;
+        }
+    };
+    while hangup.recv().await.is_some() {
+        match GatewaySettings::read(&path) {
+            Ok(settings) => {
+                let mut gateway = ctx.gateway.borrow_mut();
+                gateway.set_bounds(settings.bounds());
+                set_seeds(&mut gateway, &settings);
+                info!(ctx.telemetry.log(), "settings reloaded"; "host" => &settings.host);
+            }
+            Err(error) => {
+                warn!(ctx.telemetry.log(), "settings not reloaded"; "error" => %error);
+            }
+        }
+    }
+}
+
+/// Removes servers that stay missing, and logs when the host stops or starts being ready.
+async fn tidy(ctx: Rc<GatewayContext>) {
+    let mut was_ready = false;
+    loop {
+        sleep(TIDY_INTERVAL).await;
+        let now = ctx.now();
+        let mut gateway = ctx.gateway.borrow_mut();
+        if gateway.servers().has_missing() {
+            let dropped = gateway.drop_missing_servers(now);
+            if dropped > 0 {
+                info!(ctx.telemetry.log(), "missing servers dropped"; "servers" => dropped);
+            }
+        }
+        let is_ready = gateway.is_ready(now);
+        if is_ready != was_ready {
+            was_ready = is_ready;
+            info!(ctx.telemetry.log(), "readiness changed"; "ready" => is_ready,
+                "catalog_age_ms" => gateway.catalog_age(now).map_or(-1, |age| age.as_millis() as i64),
+                "peers" => gateway.peer_count(now));
+        }
+    }
+}
+
+/// Applies what the source tells.
+async fn take_updates(ctx: Rc<GatewayContext>, mut updates: mpsc::Receiver<FleetUpdate>) {
+    while let Some(update) = updates.recv().await {
+        apply_update(&ctx, update);
+    }
+}
+
+fn apply_update(ctx: &GatewayContext, update: FleetUpdate) {
+    let now = ctx.now();
+    let log = ctx.telemetry.log();
+    let mut gateway = ctx.gateway.borrow_mut();
+    match update {
+        FleetUpdate::Catalog { catalog, sent } => {
+            let version = catalog.version();
+            let routes = catalog.route_count();
+            match gateway.install_catalog(*catalog, sent) {
+                CatalogChange::Accepted(before) => {
+                    info!(log, "configuration accepted"; "catalog_version" => version,
+                        "before" => before.unwrap_or(0), "routes" => routes,
+                        "read_age_ms" => now.since(sent).as_millis() as u64);
+                }
+                CatalogChange::Older => {
+                    warn!(log, "older configuration ignored"; "catalog_version" => version);
+                }
+                CatalogChange::Same => {}
+            }
+        }
+        FleetUpdate::CatalogVerified { version, sent } => gateway.verify_catalog(version, sent),
+        FleetUpdate::CatalogRejected(fault) => {
+            warn!(log, "configuration rejected"; "fault" => fault);
+        }
+        FleetUpdate::Servers { listed, revision, had_outage } => {
+            info!(log, "servers listed"; "servers" => listed.len(), "revision" => revision,
+                "had_outage" => had_outage);
+            gateway.replace_servers(listed, had_outage, now);
+            ctx.room.notify_waiters();
+        }
+        FleetUpdate::Server { change, revision } => {
+            let text = format!("{change:?}");
+            if gateway.apply_server(change) {
+                if let Some(log) = ctx.telemetry.line(now, LineKind::Failure) {
+                    info!(log, "server changed"; "change" => text, "revision" => revision);
+                }
+                ctx.room.notify_waiters();
+            }
+        }
+        FleetUpdate::EntrySkipped { key, fault } => {
+            if let Some(log) = ctx.telemetry.line(now, LineKind::Success) {
+                warn!(log, "entry skipped"; "key" => key, "fault" => fault);
+            }
+        }
+        FleetUpdate::SourceLost(error) => {
+            let age = gateway.catalog_age(now).map_or(-1, |age| age.as_millis() as i64);
+            warn!(log, "store lost"; "error" => error, "catalog_age_ms" => age);
+        }
+        FleetUpdate::SourceBack => info!(log, "store is back"),
+    }
+}
--- /dev/null
+++ b/lib/src/transport/gateway/upstream.rs
@@ -0,0 +1,90 @@
+//! One connection to a server for one request.
+//!
+//! A connection is used once. A server that closed a kept connection, answers late on it or sends
+//! bytes beyond an answer can then neither lose a request that must not run twice nor spoil the
+//! next answer; docs/design/platform.md has what new connections cost.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// How long a connection may take: several times the way between two availability zones, and less
+/// than the second after which a lost opening packet is sent again.
+const CONNECT_TIME: Duration = Duration::from_millis(300);
+
+/// Why no head of an answer came.
+#[derive(Debug)]
+pub(crate) enum SendError {
+    /// No byte of the request left.
+    NotSent(String),
+    /// The request may have arrived.
+    Lost(String),
+}
+
+impl fmt::Display for SendError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            SendError::NotSent(message) => write!(f, "not sent: {message}"),
+            SendError::Lost(message) => write!(f, "no answer: {message}"),
+        }
+    }
+}
+
+/// An open connection; dropping it closes the connection, by which the server stops the request.
+pub(crate) struct Upstream {
+    sender: http1::SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for Upstream {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Upstream {
+    /// Opens a connection to `address`.
+    pub(crate) async fn connect(address: SocketAddr) -> Result<Upstream, SendError> {
+        let not_sent = |message: String| SendError::NotSent(message);
+        let stream = timeout(CONNECT_TIME, TcpStream::connect(address))
+            .await
+            .map_err(|_| not_sent("no connection in time".to_owned()))?
+            .map_err(|error| not_sent(error.to_string()))?;
+        stream.set_nodelay(true).map_err(|error| not_sent(error.to_string()))?;
+        let (sender, connection) = http1::Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| not_sent(error.to_string()))?;
+        let driver = tokio::task::spawn_local(async move {
+            // The request's own future reports what went wrong.
+            let _ = connection.await;
+        });
+        Ok(Upstream { sender, driver })
+    }
+
+    /// Sends the request and returns the answer once its head is there.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(mut error) => {
+                let was_kept = error.take_message().is_some();
+                let message = error.into_error().to_string();
+                Err(if was_kept { SendError::NotSent(message) } else { SendError::Lost(message) })
+            }
+        }
+    }
+}
--- a/lib/src/transport/logging.rs
+++ b/lib/src/transport/logging.rs
@@ -19,13 +19,7 @@
 ///
 /// Lines that do not fit its ring are dropped, so that an overload never waits for its log.
 pub fn make_logger(settings: &LogSettings) -> Logger {
-    let level = match settings.level {
-        LogLevel::Critical => Level::Critical,
-        LogLevel::Error => Level::Error,
-        LogLevel::Warning => Level::Warning,
-        LogLevel::Info => Level::Info,
-        LogLevel::Debug => Level::Debug,
-    };
+    let level = slog_level(settings.level);
     match settings.format {
         LogFormat::Json => {
             let json = slog_json::Json::default(io::stderr()).fuse();
@@ -39,6 +33,24 @@
     }
 }
 
+/// Makes a logger that writes JSON lines to standard output from a thread of its own.
+///
+/// Lines that do not fit its ring are dropped and counted in the log.
+pub fn make_stdout_logger(level: LogLevel) -> Logger {
+    let json = slog_json::Json::default(io::stdout()).fuse();
+    with_drain(LevelFilter::new(json, slog_level(level)).fuse())
+}
+
+fn slog_level(level: LogLevel) -> Level {
+    match level {
+        LogLevel::Critical => Level::Critical,
+        LogLevel::Error => Level::Error,
+        LogLevel::Warning => Level::Warning,
+        LogLevel::Info => Level::Info,
+        LogLevel::Debug => Level::Debug,
+    }
+}
+
 fn with_drain<D>(drain: D) -> Logger
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod daemon;
 pub(crate) mod engine_client;
 pub(crate) mod event_log;
+pub(crate) mod gateway;
 pub(crate) mod logging;
 pub(crate) mod metrics;
 pub(crate) mod operator_origin;
@@ -18,6 +19,8 @@
 pub(crate) mod service_client;
 
 pub use daemon::*;
+pub use gateway::*;
 pub use logging::make_logger;
+pub use logging::make_stdout_logger;
 pub use metrics::*;
 pub use peer_links::*;
