--- a/lib/src/coordination/gateway/beliefs.rs
+++ b/lib/src/coordination/gateway/beliefs.rs
@@ -7,10 +7,20 @@
 use super::PeerHeard;
 use super::PeerSummary;
 use super::ServerChange;
+use super::StopPhase;
 use crate::state::Catalog;
 use crate::state::Moment;
 use crate::state::Server;
 
+/// How often the host reads the configuration that does so for all: a change is in force within this
+/// time and an answer of the store, of the two seconds that hosts have.
+const READ_INTERVAL: Duration = Duration::from_millis(800);
+/// The age of the configuration at which the next host takes over reading.
+const TAKE_OVER: Duration = Duration::from_millis(1_350);
+/// How much later each further host takes over, and how many such steps there are.
+const TAKE_OVER_STEP: Duration = Duration::from_millis(150);
+const READ_STEPS_MAX: usize = 3;
+
 /// What became of a configuration that was read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CatalogChange {
@@ -73,7 +83,7 @@
     /// A host that cannot verify its configuration sends callers to its peers, unless none of them
     /// can verify theirs either: when all hosts suffer alike, all stay in use.
     pub fn is_ready(&self, now: Moment) -> bool {
-        if self.catalog.is_none() {
+        if self.catalog.is_none() || self.stop_phase(now) != StopPhase::Running {
             return false;
         }
         self.freshness.is_usable(now) || !self.peers.any_usable(now)
@@ -81,23 +91,68 @@
 
     /// Returns what this host tells its peers.
     pub fn peer_summary(&mut self, now: Moment) -> PeerSummary {
-        let loads = self.board.summary(now);
-        let is_usable = self.freshness.is_usable(now);
-        let version = self.catalog.as_ref().map_or(0, |catalog| catalog.version());
-        let queued = self.queue.reading_time();
-        self.peers.summary(now, version, is_usable, queued, loads)
+        let (sequence, known) = self.peers.begin_message(now);
+        PeerSummary {
+            incarnation: self.peers.incarnation(),
+            sequence,
+            version: self.catalog.as_ref().map_or(0, |catalog| catalog.version()),
+            age: self.freshness.age(now),
+            is_usable: self.freshness.is_usable(now),
+            servers_change: self.servers_change,
+            queued: self.queue.reading_time(),
+            demand: self.demand.rate(now),
+            known,
+            loads: self.board.summary(now),
+        }
     }
 
-    /// Takes what a peer at `address` tells; returns whether the peer is new.
+    /// Takes what a peer tells; returns whether the peer is new.
+    ///
+    /// A peer that verified the version in force vouches for it, as of the time that its message
+    /// surely was not sent before.
     pub fn hear_peer(&mut self, now: Moment, heard: PeerHeard) -> bool {
-        if heard.summary.incarnation == self.peers.incarnation() {
+        let summary = &heard.summary;
+        if summary.incarnation == self.peers.incarnation() {
             return false;
         }
-        let loads = heard.summary.loads.iter().copied();
-        self.board.hear(heard.summary.incarnation, loads, now);
+        if let (Some(age), Some(sent)) = (summary.age, self.peers.sent_after(summary)) {
+            let verified = sent.0.saturating_sub(age.as_micros() as u64);
+            self.verify_catalog(summary.version, Moment(verified));
+        }
+        let loads = summary.loads.iter().copied();
+        self.board.hear(summary.incarnation, loads, now);
         self.peers.hear(now, heard)
     }
 
+    /// Returns in how long the configuration is to be read from its source.
+    ///
+    /// One host reads often and vouches for the version; the others take over in turn when they
+    /// were not told for a while, and read at once when a peer has a newer version.
+    pub fn catalog_read_in(&self, now: Moment) -> Duration {
+        let Some(catalog) = &self.catalog else { return Duration::ZERO };
+        if self.peers.newest_version(now) > catalog.version() {
+            return Duration::ZERO;
+        }
+        let rank = self.peers.rank(now).min(READ_STEPS_MAX);
+        let limit = match rank {
+            0 => READ_INTERVAL,
+            rank => TAKE_OVER + TAKE_OVER_STEP * (rank as u32 - 1),
+        };
+        self.freshness.age(now).map_or(Duration::ZERO, |age| limit.saturating_sub(age))
+    }
+
+    /// Returns whether a peer knows of a change of the list of servers that has not come here.
+    pub fn misses_server_change(&self, now: Moment) -> bool {
+        self.peers.newest_change(now) > self.servers_covered
+    }
+
+    /// Notes that the list of servers is complete up to the source's revision `covered`, and the
+    /// revision of its newest change.
+    pub fn cover_servers(&mut self, covered: u64, change: Option<u64>) {
+        self.servers_covered = self.servers_covered.max(covered);
+        self.servers_change = self.servers_change.max(change.unwrap_or(0));
+    }
+
     /// Returns the addresses to send a summary to.
     pub fn peer_addresses(&self, now: Moment) -> Vec<std::net::Ipv4Addr> {
         self.peers.addresses(now)
--- a/lib/src/coordination/gateway/mod.rs
+++ b/lib/src/coordination/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod refusal;
 pub(crate) mod resend;
 pub(crate) mod servers;
+pub(crate) mod stop;
 
 pub use request::*;
 pub use beliefs::*;
@@ -20,6 +21,7 @@
 pub use refusal::*;
 pub use resend::*;
 pub use servers::*;
+pub use stop::*;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -33,6 +35,7 @@
 use crate::state::Freshness;
 use crate::state::LoadBoard;
 use crate::state::Moment;
+use crate::state::ReadingDemand;
 use crate::state::SendBudget;
 use crate::state::ServerHealth;
 use crate::state::ServerId;
@@ -62,8 +65,14 @@
     health: HashMap<ServerId, ServerHealth>,
     budgets: HashMap<ServiceName, SendBudget>,
     peers: Peers,
+    /// The source's revision up to which the list of servers is complete.
+    servers_covered: u64,
+    /// The source's revision of the newest change of that list.
+    servers_change: u64,
     queue: WaitQueue,
+    demand: ReadingDemand,
     next_send: u64,
+    stop: Option<stop::Stop>,
     random: SmallRng,
 }
 
@@ -80,8 +89,12 @@
             health: HashMap::new(),
             budgets: HashMap::new(),
             peers: Peers::new(seed),
+            servers_covered: 0,
+            servers_change: 0,
             queue: WaitQueue::default(),
+            demand: ReadingDemand::default(),
             next_send: 0,
+            stop: None,
             random: SmallRng::seed_from_u64(seed),
         }
     }
--- a/lib/src/coordination/gateway/peers.rs
+++ b/lib/src/coordination/gateway/peers.rs
@@ -1,6 +1,7 @@
 //! The other entry hosts: who they are, and what they said last.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
@@ -11,9 +12,22 @@
 const PEER_LIFE: Duration = Duration::from_millis(1_500);
 /// How long a silent peer is still sent messages, so that a cut that heals is noticed.
 const PEER_MEMORY: Duration = Duration::from_secs(60);
+/// The messages of this host whose time of sending is remembered.
+const SENT_MEMORY: usize = 256;
 /// The most peers that are remembered.
 const MAX_PEERS: usize = 1_000;
 
+/// Says that a host was heard, and up to which of its messages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeardHost {
+    /// Its address.
+    pub address: Ipv4Addr,
+    /// Which start of it.
+    pub incarnation: u64,
+    /// The last of its messages that was heard.
+    pub sequence: u64,
+}
+
 /// What one entry host tells the others.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PeerSummary {
@@ -23,12 +37,18 @@
     pub sequence: u64,
     /// The version of its configuration; 0 if it has none.
     pub version: u64,
+    /// How long before this message that version was surely the newest.
+    pub age: Option<Duration>,
     /// Whether it may judge requests by that configuration.
     pub is_usable: bool,
+    /// The newest change of the list of servers that it knows of.
+    pub servers_change: u64,
     /// The reading time of the prompts that wait at it.
     pub queued: Duration,
+    /// The seconds of engines' reading that requests ask it for in a second.
+    pub demand: f64,
     /// The entry hosts that it has heard lately.
-    pub known: Vec<Ipv4Addr>,
+    pub known: Vec<HeardHost>,
     /// What it has at each server.
     pub loads: Vec<(u64, ServerLoad)>,
 }
@@ -48,7 +68,10 @@
     sequence: u64,
     heard: Moment,
     is_usable: bool,
+    version: u64,
+    servers_change: u64,
     queued: Duration,
+    demand: f64,
 }
 
 /// The other entry hosts.
@@ -56,6 +79,8 @@
 pub struct Peers {
     incarnation: u64,
     sequence: u64,
+    /// When the latest messages were sent, the oldest first.
+    sent: VecDeque<(u64, Moment)>,
     own: Option<Ipv4Addr>,
     seeds: Vec<Ipv4Addr>,
     told: HashMap<Ipv4Addr, Moment>,
@@ -67,6 +92,7 @@
         Peers {
             incarnation,
             sequence: 0,
+            sent: VecDeque::new(),
             own: None,
             seeds: Vec::new(),
             told: HashMap::new(),
@@ -83,25 +109,33 @@
         self.seeds = seeds;
     }
 
-    pub(crate) fn summary(
-        &mut self,
-        now: Moment,
-        version: u64,
-        is_usable: bool,
-        queued: Duration,
-        loads: Vec<(u64, ServerLoad)>,
-    ) -> PeerSummary {
+    /// Begins a new message; returns its number and the hosts that were heard lately.
+    pub(crate) fn begin_message(&mut self, now: Moment) -> (u64, Vec<HeardHost>) {
         self.sequence += 1;
-        let live = self.peers.iter().filter(|(_, peer)| now.since(peer.heard) <= PEER_LIFE);
-        PeerSummary {
-            incarnation: self.incarnation,
-            sequence: self.sequence,
-            version,
-            is_usable,
-            queued,
-            known: live.map(|(address, _)| *address).collect(),
-            loads,
+        self.sent.push_back((self.sequence, now));
+        if self.sent.len() > SENT_MEMORY {
+            self.sent.pop_front();
         }
+        let live = self.peers.iter().filter(|(_, peer)| now.since(peer.heard) <= PEER_LIFE);
+        let known = live.map(|(address, peer)| HeardHost {
+            address: *address,
+            incarnation: peer.incarnation,
+            sequence: peer.sequence,
+        });
+        (self.sequence, known.collect())
+    }
+
+    /// Returns the time at or after which `summary` was sent: when this host sent the message that
+    /// the peer had heard by then. It bounds the age of what the peer says, however long its
+    /// message was on the way.
+    pub(crate) fn sent_after(&self, summary: &PeerSummary) -> Option<Moment> {
+        let own = self.own?;
+        let echo = summary
+            .known
+            .iter()
+            .find(|heard| heard.address == own && heard.incarnation == self.incarnation)?;
+        let sent = self.sent.iter().find(|(sequence, _)| *sequence == echo.sequence)?;
+        Some(sent.1)
     }
 
     pub(crate) fn hear(&mut self, now: Moment, heard: PeerHeard) -> bool {
@@ -114,9 +148,9 @@
             return false;
         }
         let is_new = before.is_none_or(|peer| now.since(peer.heard) > PEER_LIFE);
-        for address in summary.known {
-            if Some(address) != self.own && self.told.len() < MAX_PEERS {
-                self.told.insert(address, now);
+        for heard in &summary.known {
+            if Some(heard.address) != self.own && self.told.len() < MAX_PEERS {
+                self.told.insert(heard.address, now);
             }
         }
         let peer = Peer {
@@ -124,7 +158,10 @@
             sequence: summary.sequence,
             heard: now,
             is_usable: summary.is_usable,
+            version: summary.version,
+            servers_change: summary.servers_change,
             queued: summary.queued,
+            demand: summary.demand,
         };
         if self.peers.len() < MAX_PEERS || self.peers.contains_key(&heard.from) {
             self.peers.insert(heard.from, peer);
@@ -158,6 +195,28 @@
         self.live(now).map(|peer| peer.queued).sum()
     }
 
+    pub(crate) fn demand(&self, now: Moment) -> f64 {
+        self.live(now).map(|peer| peer.demand).sum()
+    }
+
+    /// Returns the newest version that a live peer has.
+    pub(crate) fn newest_version(&self, now: Moment) -> u64 {
+        self.live(now).map(|peer| peer.version).max().unwrap_or(0)
+    }
+
+    /// Returns the newest change of the list of servers that a live peer knows of.
+    pub(crate) fn newest_change(&self, now: Moment) -> u64 {
+        self.live(now).map(|peer| peer.servers_change).max().unwrap_or(0)
+    }
+
+    /// Returns how many live peers that can read the store come before this host, in an order that
+    /// all hosts share.
+    pub(crate) fn rank(&self, now: Moment) -> usize {
+        self.live(now)
+            .filter(|peer| peer.is_usable && peer.incarnation < self.incarnation)
+            .count()
+    }
+
     fn live(&self, now: Moment) -> impl Iterator<Item = &Peer> {
         self.peers.values().filter(move |peer| now.since(peer.heard) <= PEER_LIFE)
     }
--- a/lib/src/coordination/gateway/place.rs
+++ b/lib/src/coordination/gateway/place.rs
@@ -9,6 +9,7 @@
 use super::GatewayRefusal;
 use super::RefusalReason;
 use crate::state::GroupCandidate;
+use crate::state::Answer;
 use crate::state::ChoiceOutcome;
 use crate::state::EngineAsk;
 use crate::state::EngineProfile;
@@ -21,6 +22,7 @@
 use crate::state::Share;
 use crate::state::choose_group;
 use crate::state::prompt_worth;
+use crate::state::reading_price;
 
 /// How much later than expected a first event may come before the request is sent elsewhere: twice
 /// the expected time and this.
@@ -31,6 +33,8 @@
 /// The shortest and longest time after which a refused caller is asked to come back.
 const BACK_LEAST: Duration = Duration::from_millis(250);
 const BACK_MOST: Duration = Duration::from_secs(5);
+/// When a caller may come back whose request costs more of the engines' time than it is worth now.
+const BACK_COSTLY: Duration = Duration::from_millis(3_500);
 /// The shortest time between two looks at a waiting request.
 const LOOK_LEAST: Duration = Duration::from_millis(8);
 /// The longest time between two looks at a waiting request.
@@ -41,6 +45,24 @@
 const TIGHT_URGENCY: u8 = 2;
 const LOOSE_URGENCY: u8 = 5;
 
+/// A part of an engine's memory that is set aside for one send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemoryTicket {
+    /// Its name, which no other send ever has.
+    pub name: String,
+    /// The tokens that it holds.
+    pub tokens: u64,
+}
+
+/// An engine that reads a prompt with the one that writes the answer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Helper {
+    /// The engine.
+    pub server: Server,
+    /// The part of its memory that holds a part of the prompt.
+    pub ticket: Option<MemoryTicket>,
+}
+
 /// One send of a request to a server.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Dispatch {
@@ -49,7 +71,7 @@
     /// The server.
     pub server: Server,
     /// The engines that read the prompt with it.
-    pub helpers: Vec<Server>,
+    pub helpers: Vec<Helper>,
     /// How long the server may work from now.
     pub time_left: Duration,
     /// When the first part of the answer is expected, from now.
@@ -71,6 +93,13 @@
     Refuse(GatewayRefusal),
 }
 
+impl Dispatch {
+    /// Returns all servers that work on it.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        std::iter::once(&self.server).chain(self.helpers.iter().map(|helper| &helper.server))
+    }
+}
+
 impl Gateway {
     /// Decides where `ask` goes now.
     pub fn place(&mut self, now: Moment, ask: &mut GatewayRequest) -> GatewayPlacement {
@@ -107,14 +136,14 @@
 
     /// Notes that the first part of a dispatch's answer came.
     pub fn first_event(&mut self, now: Moment, dispatch: &Dispatch) {
-        for server in std::iter::once(&dispatch.server).chain(&dispatch.helpers) {
+        for server in dispatch.servers() {
             self.board.finish_reading(&server.id, dispatch.send, now);
         }
     }
 
     /// Notes that a dispatch is over, whatever became of it.
     pub fn finish(&mut self, now: Moment, dispatch: &Dispatch) {
-        for server in std::iter::once(&dispatch.server).chain(&dispatch.helpers) {
+        for server in dispatch.servers() {
             self.board.finish(&server.id, dispatch.send, now);
         }
     }
@@ -163,11 +192,12 @@
             pauses: ask.pauses(),
             on_time: ask.on_time(now),
             give_up: ask.give_up.since(now),
+            price: reading_price(self.load_factor(now, candidates.len())),
         };
         let outcome = choose_group(profile, &engine_ask, &candidates);
         let queued = ahead + self.peers.queued(now);
         let queue_time = queued / candidates.len().max(1) as u32;
-        let is_loose = engine_ask.pauses == PauseClass::Loose;
+        let is_loose = engine_ask.pauses != PauseClass::Tight;
         match outcome {
             ChoiceOutcome::Send(choice) if !is_loose || ahead.is_zero() => {
                 self.leave_queue(ask);
@@ -180,6 +210,10 @@
                 let refusal = GatewayRefusal::come_back(RefusalReason::Overload, back);
                 self.refuse(ask, not_run_only(ask, refusal))
             }
+            ChoiceOutcome::TooCostly => {
+                let refusal = GatewayRefusal::come_back(RefusalReason::Overload, BACK_COSTLY);
+                self.refuse(ask, not_run_only(ask, refusal))
+            }
             ChoiceOutcome::TooLarge => {
                 let refusal = GatewayRefusal::new(RefusalReason::PromptTooLarge);
                 self.refuse(ask, refusal)
@@ -223,21 +257,33 @@
         choice: &GroupChoice,
     ) -> GatewayPlacement {
         let first = servers[choice.first].clone();
-        let helpers: Vec<Server> =
-            choice.helpers.iter().map(|position| servers[*position].clone()).collect();
-        let part = profile.read_time(size.prompt) / (helpers.len() as u32 + 1);
+        let part = profile.read_time(size.prompt) / (choice.helpers.len() as u32 + 1);
         let send = self.new_send();
+        let helpers: Vec<Helper> = choice
+            .helpers
+            .iter()
+            .map(|helper| Helper {
+                server: servers[helper.position].clone(),
+                ticket: (helper.held > 0).then(|| self.new_ticket(send, helper.position, helper.held)),
+            })
+            .collect();
+        let held: u64 = choice.helpers.iter().map(|helper| helper.held).sum();
         let tokens = size.prompt + size.answer.min(profile.usual_answer * 3);
-        let share = Share { reading: part, tokens, writes: Some(ask.pauses()) };
+        let share = Share {
+            reading: part,
+            tokens: tokens.saturating_sub(held),
+            writes: Some(Answer { pauses: ask.pauses(), worth: prompt_worth(size.prompt) }),
+        };
         self.board.start(&first.id, send, share, now);
         for helper in &helpers {
-            let share = Share { reading: part, tokens: 0, writes: None };
-            self.board.start(&helper.id, send, share, now);
+            let tokens = helper.ticket.as_ref().map_or(0, |ticket| ticket.tokens);
+            let share = Share { reading: part, tokens, writes: None };
+            self.board.start(&helper.server.id, send, share, now);
         }
         let expected = choice.first_event;
         let urgency = match ask.pauses() {
             PauseClass::Tight => TIGHT_URGENCY,
-            PauseClass::Loose => LOOSE_URGENCY,
+            PauseClass::Loose | PauseClass::Wide => LOOSE_URGENCY,
         };
         let limit = now + expected * 2 + FIRST_EVENT_SLACK;
         self.dispatch(now, ask, send, first, helpers, expected, limit, Some(urgency))
@@ -249,7 +295,7 @@
         let mut scored: Vec<(f64, Server)> = Vec::new();
         for server in servers {
             let load = self.board.load(&server.id, now);
-            let mut score = f64::from(load.running()) / f64::from(server.slots.max(1));
+            let mut score = f64::from(load.running) / f64::from(server.slots.max(1));
             if load.doubtful || self.is_doubtful(&server.id, now) {
                 score += 2.0;
             }
@@ -264,8 +310,8 @@
             return self.refuse(ask, refusal);
         };
         let send = self.new_send();
-        let share =
-            Share { reading: Duration::ZERO, tokens: 0, writes: Some(PauseClass::Loose) };
+        let answer = Answer { pauses: ask.pauses(), worth: prompt_worth(0) };
+        let share = Share { reading: Duration::ZERO, tokens: 0, writes: Some(answer) };
         self.board.start(&server.id, send, share, now);
         let can_repeat = ask.is_repeatable() && ask.sends + 1 < ask.route.attempts;
         let limit = if can_repeat { now + REPEAT_AFTER } else { ask.deadline };
@@ -279,7 +325,7 @@
         ask: &mut GatewayRequest,
         send: SendId,
         server: Server,
-        helpers: Vec<Server>,
+        helpers: Vec<Helper>,
         expected: Duration,
         limit: Moment,
         urgency: Option<u8>,
@@ -298,6 +344,16 @@
         }))
     }
 
+    /// Returns the engines' time that all hosts are asked for, as a part of what there is.
+    pub fn load_factor(&self, now: Moment, engines: usize) -> f64 {
+        (self.demand.rate(now) + self.peers.demand(now)) / engines.max(1) as f64
+    }
+
+    fn new_ticket(&self, send: SendId, position: usize, tokens: u64) -> MemoryTicket {
+        let name = format!("{:x}-{}-{position}", self.peers.incarnation(), send.0);
+        MemoryTicket { name, tokens }
+    }
+
     fn new_send(&mut self) -> SendId {
         self.next_send += 1;
         SendId(self.next_send)
--- a/lib/src/coordination/gateway/refusal.rs
+++ b/lib/src/coordination/gateway/refusal.rs
@@ -10,6 +10,8 @@
     NoConfiguration,
     /// The configuration was not verified lately enough to judge keys by it.
     StaleConfiguration,
+    /// The host stops and could not finish the request.
+    Stopping,
     /// No route takes the request.
     NoRoute,
     /// The key is missing or unknown.
@@ -26,6 +28,8 @@
     NoServer,
     /// The prompt is larger than the engines' memory.
     PromptTooLarge,
+    /// The engines' memory could not be set aside.
+    NoMemory,
     /// No server can begin before the caller gives up.
     Overload,
     /// The time ran out while the request waited here.
@@ -51,6 +55,7 @@
         match self {
             RefusalReason::NoConfiguration => "no_configuration",
             RefusalReason::StaleConfiguration => "stale_configuration",
+            RefusalReason::Stopping => "stopping",
             RefusalReason::NoRoute => "no_route",
             RefusalReason::UnknownKey => "unknown_key",
             RefusalReason::BadRequest => "bad_request",
@@ -59,6 +64,7 @@
             RefusalReason::NoBufferSpace => "no_buffer_space",
             RefusalReason::NoServer => "no_server",
             RefusalReason::PromptTooLarge => "prompt_too_large",
+            RefusalReason::NoMemory => "no_memory",
             RefusalReason::Overload => "overload",
             RefusalReason::WaitedTooLong => "waited_too_long",
             RefusalReason::Declined => "declined",
@@ -80,9 +86,11 @@
             RefusalReason::ServerTimeout => 504,
             RefusalReason::NoConfiguration
             | RefusalReason::StaleConfiguration
+            | RefusalReason::Stopping
             | RefusalReason::NoBufferSpace
             | RefusalReason::NoServer
             | RefusalReason::PromptTooLarge
+            | RefusalReason::NoMemory
             | RefusalReason::Overload
             | RefusalReason::WaitedTooLong
             | RefusalReason::Declined
--- a/lib/src/coordination/gateway/request.rs
+++ b/lib/src/coordination/gateway/request.rs
@@ -20,14 +20,14 @@
 
 /// When a caller may come back to a host that has no configuration it can judge by.
 const BACK_UNCONFIGURED: Duration = Duration::from_millis(500);
+/// When a caller may come back, to another host, that met a stopping one.
+const BACK_STOPPING: Duration = Duration::from_millis(50);
 /// The longest time that a caller waits for the first event of a stream, whatever its objective;
 /// callers leave earlier than their deadline.
 const LEAST_STREAM_PATIENCE: Duration = Duration::from_secs(2);
 /// The objectives, and the longest pauses, that a caller waits for the first event.
 const OBJECTIVES_WAITED: u32 = 4;
 const PAUSES_WAITED: u32 = 8;
-/// Pauses up to this length make an answer sensitive to other prompts' reading.
-const TIGHT_PAUSE: Duration = Duration::from_millis(300);
 /// The time kept for the way of the final answer back to the caller.
 const WAY_BACK: Duration = Duration::from_millis(15);
 /// The deadline of a request that states none.
@@ -71,10 +71,7 @@
 impl GatewayRequest {
     /// Returns how sensitive the answer is to pauses.
     pub fn pauses(&self) -> PauseClass {
-        match self.route.gap {
-            Some(gap) if gap <= TIGHT_PAUSE => PauseClass::Tight,
-            _ => PauseClass::Loose,
-        }
+        PauseClass::of(self.route.gap)
     }
 
     /// Returns how long after `now` the answer is still on time.
@@ -107,6 +104,10 @@
         let Some(route) = catalog.route(&facts.host, &facts.path) else {
             return refuse(RefusalReason::NoRoute);
         };
+        if !self.takes(now, route) {
+            let back = GatewayRefusal::come_back(RefusalReason::Stopping, BACK_STOPPING);
+            return Err(back);
+        }
         let mut customer = None;
         if catalog.needs_keys() && !route.public {
             customer = facts.key.as_deref().and_then(|key| catalog.customer(key));
@@ -117,6 +118,7 @@
         let patience = facts.patience.unwrap_or(DEFAULT_PATIENCE);
         let service = self.pick_service(route);
         self.budget(&service).count_request(now);
+        self.count_demand(now, &service, facts.size);
         Ok(GatewayRequest {
             id: facts.id.clone(),
             route: route.clone(),
@@ -136,6 +138,14 @@
         })
     }
 
+    /// Counts the engines' time that a request asks for.
+    fn count_demand(&mut self, now: Moment, service: &ServiceName, size: Option<PromptSize>) {
+        let profile = self.catalog.as_ref().and_then(|catalog| catalog.service(service)?.engine);
+        if let (Some(profile), Some(size)) = (profile, size) {
+            self.demand.count(now, profile.read_time(size.prompt));
+        }
+    }
+
     /// Picks one of a route's services by their weights.
     fn pick_service(&mut self, route: &Route) -> ServiceName {
         let total: u32 = route.backends.iter().map(|backend| backend.weight).sum();
--- a/lib/src/coordination/gateway/resend.rs
+++ b/lib/src/coordination/gateway/resend.rs
@@ -19,11 +19,16 @@
 /// The least time left that a request is sent again for.
 const LEAST_RESEND: Duration = Duration::from_millis(40);
 
+/// How long an engine is avoided that had less memory than was believed.
+const NO_MEMORY_AVOID: Duration = Duration::from_millis(500);
+
 /// What became of one send.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SendResult {
     /// No connection could be made; nothing was sent.
     Unreached,
+    /// The memory that the prompt needs could not be set aside; nothing was sent.
+    NoMemory,
     /// The server states that it did not run the request and never will.
     Declined {
         /// The address of the server at fault, where that is another one.
@@ -57,7 +62,9 @@
 impl Gateway {
     /// Notes that `dispatch` brought the whole answer.
     pub fn record_answer(&mut self, now: Moment, dispatch: &Dispatch) {
-        self.record(now, &dispatch.server.id, ServerResult::Answered);
+        for server in dispatch.servers() {
+            self.record(now, &server.id, ServerResult::Answered);
+        }
     }
 
     /// Notes that `ask` begins to be sent: from here on the server may run it.
@@ -85,6 +92,15 @@
                 let back = GatewayRefusal::come_back(RefusalReason::Unreachable, BACK_DECLINED);
                 NextStep::Refuse(not_run_only(ask, back))
             }
+            SendResult::NoMemory => {
+                ask.unreached += 1;
+                ask.tried.retain(|tried| tried != server);
+                if ask.unreached <= MAX_UNREACHED && self.has_time(now, ask) {
+                    return NextStep::PlaceAgain;
+                }
+                let back = GatewayRefusal::come_back(RefusalReason::NoMemory, BACK_DECLINED);
+                NextStep::Refuse(not_run_only(ask, back))
+            }
             SendResult::Declined { at_fault, back } => {
                 self.record_decline(now, ask, dispatch, at_fault.as_deref());
                 ask.open_sends = ask.open_sends.saturating_sub(1);
@@ -122,6 +138,13 @@
         }
     }
 
+    /// Notes that an engine did not set memory aside: it is avoided for a while.
+    pub fn record_no_memory(&mut self, now: Moment, server: &ServerId) {
+        if self.servers.contains(server) {
+            self.health.entry(server.clone()).or_default().avoid_for(now, NO_MEMORY_AVOID);
+        }
+    }
+
     fn record(&mut self, now: Moment, server: &ServerId, result: ServerResult) {
         if self.servers.contains(server) {
             self.health.entry(server.clone()).or_default().record(now, result);
--- a/lib/src/protocol/gateway/load_wire.rs
+++ b/lib/src/protocol/gateway/load_wire.rs
@@ -6,7 +6,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::coordination::HeardHost;
 use crate::coordination::PeerSummary;
+use crate::state::PauseClass;
 use crate::state::ServerLoad;
 
 /// The version of the datagram's form; others are dropped.
@@ -24,18 +26,28 @@
     incarnation: u64,
     sequence: u64,
     catalog_version: u64,
+    age_ms: Option<u32>,
     is_usable: bool,
+    servers_change: u64,
     queued_ms: u32,
-    known: Vec<u32>,
+    demand: f32,
+    known: Vec<WireHeard>,
     loads: Vec<WireLoad>,
 }
 
+#[derive(Debug, Serialize, Deserialize)]
+struct WireHeard {
+    address: [u8; 4],
+    incarnation: u64,
+    sequence: u64,
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 struct WireLoad {
     server: u64,
     backlog_ms: u32,
-    tight: u16,
-    loose: u16,
+    running: u32,
+    at_stake: [f32; PauseClass::ALL.len()],
     tokens: u64,
     is_doubtful: bool,
 }
@@ -79,24 +91,37 @@
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
 
+/// Rounds up, so that nothing seems younger than it is.
+fn age_millis(age: Duration) -> u32 {
+    millis(age).saturating_add(1)
+}
+
 impl From<&PeerSummary> for WireSummary {
     fn from(summary: &PeerSummary) -> WireSummary {
         let loads = summary.loads.iter().take(MAX_LOADS).map(|(server, load)| WireLoad {
             server: *server,
             backlog_ms: millis(load.backlog),
-            tight: u16::try_from(load.tight).unwrap_or(u16::MAX),
-            loose: u16::try_from(load.loose).unwrap_or(u16::MAX),
+            running: load.running,
+            at_stake: load.at_stake.map(|worth| worth as f32),
             tokens: load.tokens,
             is_doubtful: load.doubtful,
         });
+        let known = summary.known.iter().map(|heard| WireHeard {
+            address: heard.address.octets(),
+            incarnation: heard.incarnation,
+            sequence: heard.sequence,
+        });
         WireSummary {
             version: WIRE_VERSION,
             incarnation: summary.incarnation,
             sequence: summary.sequence,
             catalog_version: summary.version,
+            age_ms: summary.age.map(age_millis),
             is_usable: summary.is_usable,
+            servers_change: summary.servers_change,
             queued_ms: millis(summary.queued),
-            known: summary.known.iter().map(|address| u32::from(*address)).collect(),
+            demand: summary.demand as f32,
+            known: known.collect(),
             loads: loads.collect(),
         }
     }
@@ -107,20 +132,28 @@
         let loads = wire.loads.into_iter().map(|load| {
             let decoded = ServerLoad {
                 backlog: Duration::from_millis(load.backlog_ms.into()),
-                tight: load.tight.into(),
-                loose: load.loose.into(),
+                running: load.running,
+                at_stake: load.at_stake.map(f64::from),
                 tokens: load.tokens,
                 doubtful: load.is_doubtful,
             };
             (load.server, decoded)
         });
+        let known = wire.known.into_iter().map(|heard| HeardHost {
+            address: Ipv4Addr::from(heard.address),
+            incarnation: heard.incarnation,
+            sequence: heard.sequence,
+        });
         PeerSummary {
             incarnation: wire.incarnation,
             sequence: wire.sequence,
             version: wire.catalog_version,
+            age: wire.age_ms.map(|age| Duration::from_millis(age.into())),
             is_usable: wire.is_usable,
+            servers_change: wire.servers_change,
             queued: Duration::from_millis(wire.queued_ms.into()),
-            known: wire.known.into_iter().map(Ipv4Addr::from).collect(),
+            demand: f64::from(wire.demand),
+            known: known.collect(),
             loads: loads.collect(),
         }
     }
--- a/lib/src/state/gateway/board.rs
+++ b/lib/src/state/gateway/board.rs
@@ -14,39 +14,75 @@
 /// How long a peer's summary counts without a newer one.
 const SUMMARY_LIFE: Duration = Duration::from_millis(1_500);
 
+/// The longest pause of answers that are most sensitive, and of those that are less so.
+const TIGHT_GAP: Duration = Duration::from_millis(300);
+const LOOSE_GAP: Duration = Duration::from_millis(650);
+
 /// The part of a prompt's reading time that is taken to be left when the estimate has passed and
 /// the first event has not come.
 const OVERDUE_PART: f64 = 0.25;
 
-/// How sensitive a running request is to pauses.
+/// How sensitive an answer is to pauses between its events.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PauseClass {
-    /// Its events follow each other within a few hundred milliseconds.
+    /// Its events follow each other within a fifth of a second or so.
     Tight,
-    /// Its events may be further apart, or it has none.
+    /// They may be half a second apart.
     Loose,
+    /// They may be further apart, or it has none.
+    Wide,
+}
+
+impl PauseClass {
+    /// All classes, the most sensitive first.
+    pub const ALL: [PauseClass; 3] = [PauseClass::Tight, PauseClass::Loose, PauseClass::Wide];
+
+    /// Returns the class of an answer whose events may be `gap` apart.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use wasabicrank_lib::state::PauseClass;
+    /// assert_eq!(PauseClass::of(Some(Duration::from_millis(200))), PauseClass::Tight);
+    /// assert_eq!(PauseClass::of(None), PauseClass::Wide);
+    /// ```
+    pub fn of(gap: Option<Duration>) -> PauseClass {
+        match gap {
+            Some(gap) if gap <= TIGHT_GAP => PauseClass::Tight,
+            Some(gap) if gap <= LOOSE_GAP => PauseClass::Loose,
+            _ => PauseClass::Wide,
+        }
+    }
+}
+
+/// An answer that is written at a server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Answer {
+    /// How sensitive it is to pauses.
+    pub pauses: PauseClass,
+    /// What it is worth.
+    pub worth: f64,
 }
 
 /// One request's work at one server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Share {
     /// How long the server reads for it.
     pub reading: Duration,
     /// The tokens of the server's memory that it takes.
     pub tokens: u64,
-    /// Whether the answer is written here, and how sensitive it is to pauses.
-    pub writes: Option<PauseClass>,
+    /// The answer, if it is written here.
+    pub writes: Option<Answer>,
 }
 
 /// What one host has at one server; what hosts tell each other.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct ServerLoad {
     /// How much longer the server reads prompts.
     pub backlog: Duration,
-    /// The running requests that are sensitive to pauses.
-    pub tight: u32,
-    /// The other running requests.
-    pub loose: u32,
+    /// The requests whose answer is written here.
+    pub running: u32,
+    /// What these answers are worth, by how sensitive they are to pauses.
+    pub at_stake: [f64; PauseClass::ALL.len()],
     /// The tokens of memory that all of them take.
     pub tokens: u64,
     /// Whether a host has lately lost requests at this server.
@@ -54,20 +90,23 @@
 }
 
 impl ServerLoad {
-    /// Returns the number of running requests.
+    /// Returns what the answers of one class are worth.
     ///
     /// ```
-    /// use wasabicrank_lib::state::ServerLoad;
-    /// assert_eq!(ServerLoad { tight: 2, loose: 1, ..ServerLoad::default() }.running(), 3);
+    /// use wasabicrank_lib::state::{PauseClass, ServerLoad};
+    /// let load = ServerLoad { at_stake: [1.5, 0.0, 20.0], ..ServerLoad::default() };
+    /// assert_eq!(load.stake(PauseClass::Wide), 20.0);
     /// ```
-    pub fn running(&self) -> u32 {
-        self.tight + self.loose
+    pub fn stake(&self, pauses: PauseClass) -> f64 {
+        self.at_stake[pauses as usize]
     }
 
     fn add(&mut self, other: &ServerLoad) {
         self.backlog = self.backlog.max(other.backlog);
-        self.tight += other.tight;
-        self.loose += other.loose;
+        self.running += other.running;
+        for (own, theirs) in self.at_stake.iter_mut().zip(other.at_stake) {
+            *own += theirs;
+        }
         self.tokens += other.tokens;
         self.doubtful |= other.doubtful;
     }
@@ -95,10 +134,9 @@
     fn load(&self, now: Moment) -> ServerLoad {
         let mut load = ServerLoad { backlog: self.reads_until.since(now), ..ServerLoad::default() };
         for own in &self.shares {
-            match own.share.writes {
-                Some(PauseClass::Tight) => load.tight += 1,
-                Some(PauseClass::Loose) => load.loose += 1,
-                None => {}
+            if let Some(answer) = own.share.writes {
+                load.running += 1;
+                load.at_stake[answer.pauses as usize] += answer.worth;
             }
             load.tokens += own.share.tokens;
             if own.is_reading {
--- a/lib/src/state/gateway/group_choice.rs
+++ b/lib/src/state/gateway/group_choice.rs
@@ -15,20 +15,24 @@
 
 /// The most engines that read one prompt: the first one and its helpers.
 const GROUP_MAX: usize = 16;
+/// The most helpers whose memory holds a part of one prompt.
+const HOLDERS_MAX: usize = 4;
+/// What each holder beside the first engine costs: orders, and one more engine that can fail it.
+const HOLDER_COST: f64 = 0.1;
+/// The tokens by which a part is rounded up, as engines give memory out in blocks.
+const HOLD_MARGIN: u64 = 512;
 /// A request is worth this much, and one more for each ten thousand tokens of its prompt: close to
 /// what both users' sheets give for their kinds of request.
 const BASE_WORTH: f64 = 0.8;
 const TOKENS_PER_WORTH: f64 = 10_000.0;
 /// What part of its worth an answer loses when it is late, from the users' sheets.
 const LATE_LOSS: f64 = 0.75;
-/// The worth of a short request whose answer is made late, from the users' sheets.
-const TIGHT_WORTH: f64 = 1.0;
-/// The worth of a longer request whose answer is made late, from the users' sheets.
-const LOOSE_WORTH: f64 = 4.0;
-/// The longest reading that does not make a tight answer late, of a pause of 200 ms.
-const TIGHT_READ: Duration = Duration::from_millis(110);
-/// The longest reading that does not make a loose answer late, of a pause of 500 ms.
-const LOOSE_READ: Duration = Duration::from_millis(400);
+/// The longest reading at once that makes no answer of each class late: of pauses of 200, 500 and
+/// 800 ms, less one pass and the prompts that are read in the same one.
+const READ_LIMITS: [Duration; PauseClass::ALL.len()] =
+    [Duration::from_millis(110), Duration::from_millis(410), Duration::from_millis(700)];
+/// What part of its worth a running answer is charged for a reading at the limit.
+const SLIGHT_HARM: f64 = 0.05;
 /// What part of the objective the first event may take by the estimate.
 const SAFE_PART: f64 = 0.8;
 /// What taking an engine without short requests for one costs.
@@ -68,6 +72,17 @@
     pub on_time: Duration,
     /// How long after now the caller gives up without a first event.
     pub give_up: Duration,
+    /// What a second of an engine's reading must be worth, for the engines' time is scarce.
+    pub price: f64,
+}
+
+/// An engine that reads with the first one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HelperChoice {
+    /// Its position among the candidates.
+    pub position: usize,
+    /// The tokens of the prompt that its memory holds; the first engine holds the others.
+    pub held: u64,
 }
 
 /// Where a request goes: positions among the candidates.
@@ -76,7 +91,7 @@
     /// The engine that writes the answer.
     pub first: usize,
     /// The engines that read with it.
-    pub helpers: Vec<usize>,
+    pub helpers: Vec<HelperChoice>,
     /// When the first event is expected, from now.
     pub first_event: Duration,
 }
@@ -90,8 +105,10 @@
     Wait(Duration),
     /// It cannot be served before its caller gives up.
     Hopeless(Duration),
-    /// It is larger than any engine's memory.
+    /// It is larger than the memory of all engines that could hold it together.
     TooLarge,
+    /// The engines' time is worth more to other requests.
+    TooCostly,
     /// No engine is there.
     NoEngine,
 }
@@ -118,9 +135,14 @@
     let room = (profile.memory as f64 * MEMORY_PART) as u64;
     let answer = ask.size.answer.min(profile.usual_answer.saturating_mul(3));
     let need = ask.size.prompt + answer;
-    if need > room {
+    let holders = if profile.joint { candidates.len().min(HOLDERS_MAX + 1) } else { 1 };
+    if need > room * holders as u64 {
         return ChoiceOutcome::TooLarge;
     }
+    let reading = profile.read_time(ask.size.prompt).as_secs_f64();
+    if prompt_worth(ask.size.prompt) < ask.price * reading {
+        return ChoiceOutcome::TooCostly;
+    }
     let choice = Chooser { profile, ask, candidates, room, need };
     choice.best()
 }
@@ -137,7 +159,7 @@
     fn best(&self) -> ChoiceOutcome {
         let alone = self.profile.read_time(self.ask.size.prompt);
         let mut best: Option<(f64, GroupChoice)> = None;
-        let most = if self.profile.joint && alone > TIGHT_READ { GROUP_MAX } else { 1 };
+        let most = if self.profile.joint && alone > READ_LIMITS[0] { GROUP_MAX } else { 1 };
         for count in 1..=most.min(self.candidates.len()) {
             let part = alone / count as u32;
             let Some((cost, choice)) = self.group(count, part) else { continue };
@@ -167,21 +189,63 @@
             .map(|position| (self.place_cost(position, part, count > 1), position))
             .collect();
         order.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let at = order.iter().position(|(_, position)| self.has_room(*position))?;
-        let (_, first) = order.remove(at);
-        let helpers: Vec<usize> =
-            order.iter().take(count - 1).map(|(_, position)| *position).collect();
-        let members = || helpers.iter().copied().chain([first]);
+        let (first, mut others) = self.pick_first(&order, count)?;
+        others.truncate(count - 1);
+        let helpers = self.divide_memory(first, &others)?;
+        let members = || others.iter().copied().chain([first]);
         let backlog =
             members().map(|position| self.candidates[position].load.backlog).max()?;
         let first_event = backlog + part + self.pass(first) + FIRST_EVENT_EXTRA;
         let places: f64 =
             members().map(|position| self.place_cost(position, part, count > 1)).sum();
+        let holders = helpers.iter().filter(|helper| helper.held > 0).count();
         let worth = prompt_worth(self.ask.size.prompt);
-        let cost = worth * self.lateness(first_event) + places + MEMBER_COST * count as f64;
+        let cost = worth * self.lateness(first_event)
+            + places
+            + MEMBER_COST * count as f64
+            + HOLDER_COST * holders as f64;
         Some((cost, GroupChoice { first, helpers, first_event }))
     }
 
+    /// Picks the engine that writes, and returns the others by their cost: the cheapest one that
+    /// holds the whole prompt or, in a group that none of the cheapest could hold it alone, the one
+    /// with the most memory.
+    fn pick_first(&self, order: &[(f64, usize)], count: usize) -> Option<(usize, Vec<usize>)> {
+        let has_slot = |position: &usize| self.has_slot(*position);
+        let positions: Vec<usize> = order.iter().map(|(_, position)| *position).collect();
+        let members = if count == 1 { &positions[..] } else { &positions[..count] };
+        let alone =
+            members.iter().copied().find(|at| has_slot(at) && self.free(*at) >= self.need);
+        let roomiest = || {
+            let open = members.iter().copied().filter(|at| count > 1 && has_slot(at));
+            open.max_by_key(|at| self.free(*at))
+        };
+        let first = alone.or_else(roomiest)?;
+        let others = positions.into_iter().filter(|at| *at != first).collect();
+        Some((first, others))
+    }
+
+    /// Divides what the first engine cannot hold among the helpers with the most memory.
+    fn divide_memory(&self, first: usize, others: &[usize]) -> Option<Vec<HelperChoice>> {
+        let mut helpers: Vec<HelperChoice> =
+            others.iter().map(|at| HelperChoice { position: *at, held: 0 }).collect();
+        let mut missing = self.need.saturating_sub(self.free(first));
+        if missing == 0 {
+            return Some(helpers);
+        }
+        let mut roomiest: Vec<usize> = (0..helpers.len()).collect();
+        roomiest.sort_by_key(|at| std::cmp::Reverse(self.free(helpers[*at].position)));
+        for at in roomiest.into_iter().take(HOLDERS_MAX) {
+            let held = self.free(helpers[at].position).min(missing + HOLD_MARGIN);
+            helpers[at].held = held;
+            missing = missing.saturating_sub(held);
+            if missing == 0 {
+                return Some(helpers);
+            }
+        }
+        None
+    }
+
     /// Returns what reading `part` at a candidate costs the requests that run there.
     fn place_cost(&self, position: usize, part: Duration, is_joint: bool) -> f64 {
         let candidate = &self.candidates[position];
@@ -190,21 +254,23 @@
         if candidate.doubtful {
             cost += DOUBT_COST;
         }
-        let disturbed = |limit: Duration| part.as_secs_f64() / limit.as_secs_f64();
-        let harm = |share: f64| if share > 1.0 { share.min(2.0) } else { 0.05 * share };
-        cost += f64::from(load.tight) * TIGHT_WORTH * LATE_LOSS * harm(disturbed(TIGHT_READ));
-        cost += f64::from(load.loose) * LOOSE_WORTH * LATE_LOSS * harm(disturbed(LOOSE_READ));
+        for pauses in PauseClass::ALL {
+            let limit = READ_LIMITS[pauses as usize];
+            let share = part.as_secs_f64() / limit.as_secs_f64();
+            let harm = if share > 1.0 { LATE_LOSS } else { SLIGHT_HARM * share };
+            cost += load.stake(pauses) * harm;
+        }
         match self.ask.pauses {
             PauseClass::Tight => {
-                if load.tight == 0 {
+                if load.stake(PauseClass::Tight) == 0.0 {
                     cost += OPEN_COST;
                 }
-                if load.loose > 0 {
+                if load.stake(PauseClass::Loose) + load.stake(PauseClass::Wide) > 0.0 {
                     cost += OPEN_COST;
                 }
                 cost += ORDER_COST * position as f64;
             }
-            PauseClass::Loose => {
+            PauseClass::Loose | PauseClass::Wide => {
                 let from_end = self.candidates.len() - 1 - position;
                 cost += ORDER_COST * from_end as f64;
                 if is_joint {
@@ -215,15 +281,19 @@
         cost
     }
 
-    fn has_room(&self, position: usize) -> bool {
+    fn has_slot(&self, position: usize) -> bool {
         let load = &self.candidates[position].load;
-        load.running() + FREE_SLOTS < self.profile.slots.max(FREE_SLOTS + 1)
-            && load.tokens + self.need <= self.room
+        load.running + FREE_SLOTS < self.profile.slots.max(FREE_SLOTS + 1)
+    }
+
+    /// Returns the tokens of memory that are free at a candidate.
+    fn free(&self, position: usize) -> u64 {
+        self.room.saturating_sub(self.candidates[position].load.tokens)
     }
 
     /// Returns how long the pass under way may still take before the prompt is looked at.
     fn pass(&self, position: usize) -> Duration {
-        match self.candidates[position].load.running() {
+        match self.candidates[position].load.running {
             0 => Duration::ZERO,
             _ => self.profile.pass_time(),
         }
--- a/lib/src/state/gateway/health.rs
+++ b/lib/src/state/gateway/health.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// Avoids the server for a while, without counting a failure.
+    pub fn avoid_for(&mut self, now: Moment, span: Duration) {
+        self.avoid_until = self.avoid_until.max(Some(now + span));
+    }
+
     /// Returns whether the server is avoided now.
     ///
     /// ```
--- a/lib/src/state/gateway/mod.rs
+++ b/lib/src/state/gateway/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod board;
 pub(crate) mod budget;
 pub(crate) mod catalog;
+pub(crate) mod demand;
 pub(crate) mod engine_profile;
 pub(crate) mod facts;
 pub(crate) mod freshness;
@@ -14,6 +15,7 @@
 pub use board::*;
 pub use budget::*;
 pub use catalog::*;
+pub use demand::*;
 pub use engine_profile::*;
 pub use facts::*;
 pub use freshness::*;
--- a/lib/src/transport/gateway/context.rs
+++ b/lib/src/transport/gateway/context.rs
@@ -2,13 +2,18 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::future::Future;
+use std::pin::Pin;
+use std::time::Duration;
 
 use tokio::sync::Notify;
 
 use super::clock::BootClock;
 use super::dialect::Dialect;
+use super::fleet_source::ReadSchedule;
 use super::telemetry::Telemetry;
 use crate::coordination::Gateway;
+use crate::coordination::StopPhase;
 use crate::state::Moment;
 
 /// The shared parts.
@@ -23,10 +28,10 @@
     pub(crate) telemetry: Telemetry,
     /// Told when a request ends or a belief changes, for requests that wait here.
     pub(crate) room: Notify,
+    /// Told when a peer knows something newer of the configuration or the servers.
+    pub(crate) newer_known: Notify,
     /// Told when this host's load changes, for its peers.
     pub(crate) load_changed: Notify,
-    /// Whether the process is to stop.
-    pub(crate) is_stopping: Cell<bool>,
     /// The bytes of request bodies that are held.
     pub(crate) buffered: Cell<usize>,
     /// The most bytes of request bodies that are held.
@@ -40,9 +45,40 @@
         self.clock.now()
     }
 
+    /// Returns whether a planned stop has begun.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.gateway.borrow().stop_phase(self.now()) != StopPhase::Running
+    }
+
     /// Tells waiting requests and peers that the load has changed.
     pub(crate) fn load_changes(&self) {
         self.room.notify_waiters();
         self.load_changed.notify_one();
     }
 }
+
+/// How long a watch waits for changes of the list of servers where peers would tell of a change that
+/// it missed, and where none would.
+const WATCH_WAIT: Duration = Duration::from_secs(8);
+const WATCH_WAIT_ALONE: Duration = Duration::from_millis(2_500);
+
+impl ReadSchedule for GatewayContext {
+    fn catalog_read_in(&self) -> Duration {
+        self.gateway.borrow().catalog_read_in(self.now())
+    }
+
+    fn watch_wait(&self) -> Duration {
+        match self.gateway.borrow().peer_count(self.now()) {
+            0 => WATCH_WAIT_ALONE,
+            _ => WATCH_WAIT,
+        }
+    }
+
+    fn misses_server_change(&self) -> bool {
+        self.gateway.borrow().misses_server_change(self.now())
+    }
+
+    fn changed(&self) -> Pin<Box<dyn Future<Output = ()> + '_>> {
+        Box::pin(self.newer_known.notified())
+    }
+}
--- a/lib/src/transport/gateway/dialect.rs
+++ b/lib/src/transport/gateway/dialect.rs
@@ -1,14 +1,19 @@
 //! The border to the HTTP that callers and servers speak: heads in, the gateway's types out.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::HeaderMap;
+use http::Request;
 use http::request;
 use http::response;
+use http_body_util::Full;
 
+use crate::coordination::Helper;
+use crate::coordination::MemoryTicket;
 use crate::state::CustomerName;
 use crate::state::RequestFacts;
+use crate::state::Server;
 use crate::state::ServerId;
 
 /// What a server is told beside the caller's own request.
@@ -17,7 +22,7 @@
     /// The server that is to run it; another one declines.
     pub server: &'a ServerId,
     /// The engines that read the prompt with it.
-    pub helpers: &'a [SocketAddr],
+    pub helpers: &'a [Helper],
     /// The customer that asks.
     pub customer: Option<&'a CustomerName>,
     /// How long the server may work.
@@ -43,6 +48,18 @@
     pub back: Option<Duration>,
 }
 
+/// An order to an engine, as it is sent.
+pub type Order = Request<Full<Bytes>>;
+
+/// What an engine says to an order about its memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// It is done.
+    Done,
+    /// The engine will not do it.
+    Refused,
+}
+
 /// Why a request's head cannot be served; the text names the field.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BadHead(pub String);
@@ -58,4 +75,13 @@
 
     /// Reads an answer's head.
     fn answer_facts(&self, head: &response::Parts) -> AnswerFacts;
+
+    /// Returns the order that sets memory aside for `hold`, or goes on to do so.
+    fn reserve_order(&self, server: &Server, ticket: &MemoryTicket, hold: Duration) -> Order;
+
+    /// Returns the order that gives memory back.
+    fn release_order(&self, server: &Server, ticket: &MemoryTicket) -> Order;
+
+    /// Reads the answer to an order.
+    fn order_outcome(&self, head: &response::Parts) -> OrderOutcome;
 }
--- a/lib/src/transport/gateway/exchange.rs
+++ b/lib/src/transport/gateway/exchange.rs
@@ -27,6 +27,8 @@
 use super::context::GatewayContext;
 use super::dialect::SendHead;
 use super::event_relay::EventRelay;
+use super::memory_tickets::HeldTicket;
+use super::memory_tickets::reserve_memory;
 use super::request_body::BodyFault;
 use super::request_body::HeldBody;
 use super::request_body::read_body;
@@ -150,7 +152,7 @@
 
 /// Asks the caller to open its next connection elsewhere while the process stops.
 pub(crate) fn close_if_stopping(ctx: &GatewayContext, fields: &mut HeaderMap) {
-    if ctx.is_stopping.get() {
+    if ctx.is_stopping() {
         fields.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
 }
@@ -199,6 +201,8 @@
     ctx: Rc<GatewayContext>,
     pub(crate) dispatch: Dispatch,
     upstream: Option<Upstream>,
+    /// The memory that is set aside for it; given back when this is dropped.
+    tickets: Vec<HeldTicket>,
 }
 
 impl Drop for LiveSend {
@@ -314,7 +318,7 @@
     /// Sends the request once and reads the answer up to where it can be judged.
     pub(crate) async fn send(&mut self, dispatch: Dispatch) -> (Sent, Dispatch) {
         let copy = dispatch.clone();
-        let mut live = LiveSend { ctx: self.ctx.clone(), dispatch, upstream: None };
+        let mut live = LiveSend { ctx: self.ctx.clone(), dispatch, upstream: None, tickets: Vec::new() };
         let sent = match self.exchange_heads(&mut live).await {
             Ok((head, body)) => self.read_answer(live, head, body).await,
             Err(result) => Sent::Result(result, None),
@@ -326,6 +330,10 @@
         &mut self,
         live: &mut LiveSend,
     ) -> Result<(response::Parts, Incoming), SendResult> {
+        match reserve_memory(&self.ctx, &live.dispatch).await {
+            Ok(tickets) => live.tickets = tickets,
+            Err(result) => return Err(result),
+        }
         let mut upstream = match Upstream::connect(live.dispatch.server.address).await {
             Ok(upstream) => upstream,
             Err(error) => {
@@ -367,10 +375,9 @@
     fn upstream_request(&self, now: Moment, dispatch: &Dispatch) -> Request<Full<Bytes>> {
         let mut fields = self.head.headers.clone();
         strip_connection_fields(&mut fields);
-        let helpers: Vec<_> = dispatch.helpers.iter().map(|helper| helper.address).collect();
         let send = SendHead {
             server: &dispatch.server.id,
-            helpers: &helpers,
+            helpers: &dispatch.helpers,
             customer: self.ask.customer.as_ref(),
             time_left: self.ask.deadline.since(now),
             urgency: dispatch.urgency,
@@ -467,7 +474,7 @@
             "helpers" => dispatch.helpers.len(),
             "expected_ms" => dispatch.expected.as_millis() as u64,
             "backlog_ms" => load.backlog.as_millis() as u64,
-            "tight" => load.tight, "loose" => load.loose,
+            "running" => load.running, "at_stake" => format!("{:.1?}", load.at_stake),
             "catalog_version" => gateway.catalog().map_or(0, |catalog| catalog.version()));
     }
 
@@ -537,6 +544,7 @@
 fn result_name(result: &SendResult) -> &'static str {
     match result {
         SendResult::Unreached => "unreached",
+        SendResult::NoMemory => "no_memory",
         SendResult::Declined { .. } => "declined",
         SendResult::Failed => "failed",
         SendResult::Lost => "lost",
--- a/lib/src/transport/gateway/fleet_source.rs
+++ b/lib/src/transport/gateway/fleet_source.rs
@@ -2,6 +2,8 @@
 
 use std::future::Future;
 use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::sync::mpsc;
 
@@ -36,8 +38,10 @@
     Servers {
         /// The servers.
         listed: Vec<Server>,
-        /// The source's revision of the list.
-        revision: u64,
+        /// The source's revision up to which the list is complete.
+        covered: u64,
+        /// The revision of the newest of its entries.
+        newest: u64,
         /// Whether the source was away before.
         had_outage: bool,
     },
@@ -48,6 +52,8 @@
         /// The source's revision at which it happened.
         revision: u64,
     },
+    /// The list is complete up to this revision of the source.
+    ServersCovered(u64),
     /// An entry that names no usable server, and why; the others hold.
     EntrySkipped {
         /// The entry's key.
@@ -64,8 +70,27 @@
 /// A task that runs as long as the process.
 pub type LocalTask = Pin<Box<dyn Future<Output = ()>>>;
 
+/// When the source is to be read, which the gateway decides: hosts share what they read.
+pub trait ReadSchedule {
+    /// Returns in how long the configuration is to be read.
+    fn catalog_read_in(&self) -> Duration;
+
+    /// Returns how long a watch of the list of servers may wait.
+    fn watch_wait(&self) -> Duration;
+
+    /// Returns whether the list misses a change that another host knows of.
+    fn misses_server_change(&self) -> bool;
+
+    /// Ends when another answer of this schedule is to be expected.
+    fn changed(&self) -> Pin<Box<dyn Future<Output = ()> + '_>>;
+}
+
 /// Follows the configuration and the list of servers.
 pub trait FleetSource {
-    /// Follows the source and sends what it tells to `updates`, until that is closed.
-    fn follow(self: Box<Self>, updates: mpsc::Sender<FleetUpdate>) -> LocalTask;
+    /// Follows the source by `schedule` and sends what it tells to `updates`, until that is closed.
+    fn follow(
+        self: Box<Self>,
+        updates: mpsc::Sender<FleetUpdate>,
+        schedule: Rc<dyn ReadSchedule>,
+    ) -> LocalTask;
 }
--- a/lib/src/transport/gateway/listener.rs
+++ b/lib/src/transport/gateway/listener.rs
@@ -122,7 +122,7 @@
 /// Answers the balancer's question whether new connections should come here.
 pub(crate) async fn accept_readiness(ctx: Rc<GatewayContext>, listener: TcpListener) {
     accept_small(ctx, listener, |ctx, _| {
-        let is_ready = !ctx.is_stopping.get() && ctx.gateway.borrow().is_ready(ctx.now());
+        let is_ready = ctx.gateway.borrow().is_ready(ctx.now());
         let mut response = Response::new(AnswerBody::whole(""));
         if !is_ready {
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/lib/src/transport/gateway/mod.rs
+++ b/lib/src/transport/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod exchange;
 pub(crate) mod fleet_source;
 pub(crate) mod listener;
+pub(crate) mod memory_tickets;
 pub(crate) mod peer_socket;
 pub(crate) mod process;
 pub(crate) mod request_body;
--- a/lib/src/transport/gateway/peer_socket.rs
+++ b/lib/src/transport/gateway/peer_socket.rs
@@ -72,7 +72,12 @@
             Ok(summary) => {
                 let incarnation = summary.incarnation;
                 let heard = PeerHeard { from: *from.ip(), summary };
-                if ctx.gateway.borrow_mut().hear_peer(now, heard) {
+                let is_new = ctx.gateway.borrow_mut().hear_peer(now, heard);
+                let gateway = ctx.gateway.borrow();
+                if gateway.misses_server_change(now) || gateway.catalog_read_in(now).is_zero() {
+                    ctx.newer_known.notify_waiters();
+                }
+                if is_new {
                     info!(ctx.telemetry.log(), "peer heard"; "peer" => %IpAddr::V4(*from.ip()),
                         "incarnation" => incarnation);
                 }
--- a/lib/src/transport/gateway/process.rs
+++ b/lib/src/transport/gateway/process.rs
@@ -33,16 +33,13 @@
 use super::telemetry::Telemetry;
 use crate::coordination::CatalogChange;
 use crate::coordination::Gateway;
+use crate::coordination::StopPhase;
 use crate::protocol::GatewaySettings;
 
 /// The part of the memory that request bodies may take.
 const BODY_MEMORY_PART: u64 = 6;
 /// The descriptors that are kept for files, the log and the platform.
 const KEPT_DESCRIPTORS: u64 = 300;
-/// The part of the time to stop during which callers may go on using their open connections.
-const STOP_SERVE_PART: f64 = 0.5;
-/// The part of the time to stop after which the process ends whatever is still open.
-const STOP_END_PART: f64 = 0.93;
 /// How often a stopping process looks whether all connections are closed.
 const STOP_LOOK: Duration = Duration::from_millis(100);
 /// How often missing servers are looked for while there are any, and beliefs are checked.
@@ -123,7 +120,7 @@
         telemetry: Telemetry::new(log),
         room: Notify::new(),
         load_changed: Notify::new(),
-        is_stopping: Cell::new(false),
+        newer_known: Notify::new(),
         buffered: Cell::new(0),
         buffer_limit: (settings.memory_mb / BODY_MEMORY_PART) as usize * 1024 * 1024,
         connections: Cell::new(0),
@@ -131,7 +128,7 @@
     let (close, closing) = watch::channel(false);
     start_listeners(&ctx, &settings, closing).await?;
     let (updates, received) = mpsc::channel(UPDATE_RING);
-    tokio::task::spawn_local(source.follow(updates));
+    tokio::task::spawn_local(source.follow(updates, ctx.clone()));
     tokio::task::spawn_local(take_updates(ctx.clone(), received));
     tokio::task::spawn_local(tidy(ctx.clone()));
     tokio::task::spawn_local(reload_on_signal(ctx.clone(), path));
@@ -187,22 +184,24 @@
     Ok(())
 }
 
-/// Stops without cutting a request: new connections go elsewhere, open ones are used until callers
-/// leave or the time is half over, and then closed when their request is answered.
+/// Stops without cutting a request: new connections go elsewhere, open ones are closed when they are
+/// idle, and the process ends when none is left.
 async fn stop(ctx: &Rc<GatewayContext>, settings: &GatewaySettings, close: &watch::Sender<bool>) {
     let grace = settings.grace();
     info!(ctx.telemetry.log(), "stop begins"; "grace_ms" => grace.as_millis() as u64,
         "connections" => ctx.connections.get());
-    ctx.is_stopping.set(true);
+    ctx.gateway.borrow_mut().begin_stop(ctx.now(), grace);
     ctx.load_changed.notify_one();
-    sleep(grace.mul_f64(STOP_SERVE_PART)).await;
-    if close.send(true).is_err() {
-        info!(ctx.telemetry.log(), "no connection listens for the stop");
-    }
-    let mut left = grace.mul_f64(STOP_END_PART - STOP_SERVE_PART);
-    while ctx.connections.get() > 0 && !left.is_zero() {
+    loop {
+        let phase = ctx.gateway.borrow().stop_phase(ctx.now());
+        let is_closing = phase != StopPhase::Serving;
+        if is_closing && close.send(true).is_err() {
+            info!(ctx.telemetry.log(), "no connection listens for the stop");
+        }
+        if phase == StopPhase::Ended || (is_closing && ctx.connections.get() == 0) {
+            break;
+        }
         sleep(STOP_LOOK).await;
-        left = left.saturating_sub(STOP_LOOK);
     }
     info!(ctx.telemetry.log(), "stop ends"; "connections" => ctx.connections.get());
 }
@@ -274,6 +273,7 @@
                     info!(log, "configuration accepted"; "catalog_version" => version,
                         "before" => before.unwrap_or(0), "routes" => routes,
                         "read_age_ms" => now.since(sent).as_millis() as u64);
+                    ctx.load_changed.notify_one();
                 }
                 CatalogChange::Older => {
                     warn!(log, "older configuration ignored"; "catalog_version" => version);
@@ -281,18 +281,24 @@
                 CatalogChange::Same => {}
             }
         }
-        FleetUpdate::CatalogVerified { version, sent } => gateway.verify_catalog(version, sent),
+        FleetUpdate::CatalogVerified { version, sent } => {
+            gateway.verify_catalog(version, sent);
+            // Peers rely on this host's word.
+            ctx.load_changed.notify_one();
+        }
         FleetUpdate::CatalogRejected(fault) => {
             warn!(log, "configuration rejected"; "fault" => fault);
         }
-        FleetUpdate::Servers { listed, revision, had_outage } => {
-            info!(log, "servers listed"; "servers" => listed.len(), "revision" => revision,
+        FleetUpdate::Servers { listed, covered, newest, had_outage } => {
+            info!(log, "servers listed"; "servers" => listed.len(), "revision" => covered,
                 "had_outage" => had_outage);
+            gateway.cover_servers(covered, Some(newest));
             gateway.replace_servers(listed, had_outage, now);
             ctx.room.notify_waiters();
         }
         FleetUpdate::Server { change, revision } => {
             let text = format!("{change:?}");
+            gateway.cover_servers(revision, Some(revision));
             if gateway.apply_server(change) {
                 if let Some(log) = ctx.telemetry.line(now, LineKind::Failure) {
                     info!(log, "server changed"; "change" => text, "revision" => revision);
@@ -300,6 +306,7 @@
                 ctx.room.notify_waiters();
             }
         }
+        FleetUpdate::ServersCovered(revision) => gateway.cover_servers(revision, None),
         FleetUpdate::EntrySkipped { key, fault } => {
             if let Some(log) = ctx.telemetry.line(now, LineKind::Success) {
                 warn!(log, "entry skipped"; "key" => key, "fault" => fault);
