--- a/lib/src/coordination/gateway/peers.rs
+++ b/lib/src/coordination/gateway/peers.rs
@@ -45,7 +45,7 @@
     pub servers_change: u64,
     /// The reading time of the prompts that wait at it.
     pub queued: Duration,
-    /// The seconds of engines' reading that requests ask it for in a second.
+    /// The seconds of engines' reading that its requests take in a second.
     pub demand: f64,
     /// The entry hosts that it has heard lately.
     pub known: Vec<HeardHost>,
--- a/lib/src/coordination/gateway/place.rs
+++ b/lib/src/coordination/gateway/place.rs
@@ -25,8 +25,10 @@
 use crate::state::reading_price;
 
 /// How much later than expected a first event may come before the request is sent elsewhere: twice
-/// the expected time and this.
-const FIRST_EVENT_SLACK: Duration = Duration::from_millis(600);
+/// the expected time and this. Callers of short prompts leave after two seconds; reading a long
+/// prompt again costs more than waiting for it.
+const SHORT_SLACK: Duration = Duration::from_millis(600);
+const LONG_SLACK: Duration = Duration::from_millis(2_500);
 /// How long a plain service may take for a request that can be repeated, before it is sent to
 /// another server: well over what nearly all of these calls take.
 const REPEAT_AFTER: Duration = Duration::from_millis(350);
@@ -39,6 +41,8 @@
 const LOOK_LEAST: Duration = Duration::from_millis(8);
 /// The longest time between two looks at a waiting request.
 const LOOK_MOST: Duration = Duration::from_millis(60);
+/// The random time by which looks of several hosts are spread.
+const LOOK_SPREAD: Duration = Duration::from_millis(25);
 /// The least time that sending to a server is worth trying for.
 const LEAST_TIME: Duration = Duration::from_millis(20);
 /// Urgency that engines are told: requests that are sensitive to pauses are admitted first.
@@ -244,7 +248,9 @@
         if ask.waiting.is_none() {
             ask.waiting = Some(self.queue.enter(now, worth, reading));
         }
-        GatewayPlacement::Wait(time.clamp(LOOK_LEAST, LOOK_MOST))
+        // Hosts that wait for the same engine should not all look at the same moment.
+        let spread = self.random.random_range(0.0..1.0);
+        GatewayPlacement::Wait(time.clamp(LOOK_LEAST, LOOK_MOST) + LOOK_SPREAD.mul_f64(spread))
     }
 
     fn send_to_group(
@@ -258,6 +264,7 @@
     ) -> GatewayPlacement {
         let first = servers[choice.first].clone();
         let part = profile.read_time(size.prompt) / (choice.helpers.len() as u32 + 1);
+        self.demand.count(now, profile.read_time(size.prompt));
         let send = self.new_send();
         let helpers: Vec<Helper> = choice
             .helpers
@@ -285,7 +292,11 @@
             PauseClass::Tight => TIGHT_URGENCY,
             PauseClass::Loose | PauseClass::Wide => LOOSE_URGENCY,
         };
-        let limit = now + expected * 2 + FIRST_EVENT_SLACK;
+        let slack = match ask.pauses() {
+            PauseClass::Tight => SHORT_SLACK,
+            PauseClass::Loose | PauseClass::Wide => LONG_SLACK,
+        };
+        let limit = now + expected * 2 + slack;
         self.dispatch(now, ask, send, first, helpers, expected, limit, Some(urgency))
     }
 
--- a/lib/src/coordination/gateway/request.rs
+++ b/lib/src/coordination/gateway/request.rs
@@ -118,7 +118,6 @@
         let patience = facts.patience.unwrap_or(DEFAULT_PATIENCE);
         let service = self.pick_service(route);
         self.budget(&service).count_request(now);
-        self.count_demand(now, &service, facts.size);
         Ok(GatewayRequest {
             id: facts.id.clone(),
             route: route.clone(),
@@ -138,14 +137,6 @@
         })
     }
 
-    /// Counts the engines' time that a request asks for.
-    fn count_demand(&mut self, now: Moment, service: &ServiceName, size: Option<PromptSize>) {
-        let profile = self.catalog.as_ref().and_then(|catalog| catalog.service(service)?.engine);
-        if let (Some(profile), Some(size)) = (profile, size) {
-            self.demand.count(now, profile.read_time(size.prompt));
-        }
-    }
-
     /// Picks one of a route's services by their weights.
     fn pick_service(&mut self, route: &Route) -> ServiceName {
         let total: u32 = route.backends.iter().map(|backend| backend.weight).sum();
--- a/lib/src/state/gateway/demand.rs
+++ b/lib/src/state/gateway/demand.rs
@@ -1,4 +1,4 @@
-//! How much of the engines' time is asked for, and what a second of it must then be worth.
+//! How much of the engines' time is taken, and what a second of it must then be worth.
 
 use std::time::Duration;
 
@@ -8,11 +8,11 @@
 /// follow a burst.
 const AVERAGED: Duration = Duration::from_secs(4);
 /// The load factor from which the engines' time is scarce.
-const SCARCE_FROM: f64 = 0.5;
+const SCARCE_FROM: f64 = 0.4;
 /// What a second of reading must be worth at a load factor of one more.
-const PRICE_SLOPE: f64 = 10.0;
+const PRICE_SLOPE: f64 = 20.0;
 
-/// The engines' time that requests ask for in a second, averaged over some seconds.
+/// The engines' time that requests take in a second, averaged over some seconds.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ReadingDemand {
     rate: f64,
@@ -20,13 +20,13 @@
 }
 
 impl ReadingDemand {
-    /// Counts a request that engines read for `reading`.
+    /// Counts a request that engines begin to read for `reading`.
     pub fn count(&mut self, now: Moment, reading: Duration) {
         self.rate = self.rate(now) + reading.as_secs_f64() / AVERAGED.as_secs_f64();
         self.updated = now;
     }
 
-    /// Returns the seconds of reading that are asked for in a second.
+    /// Returns the seconds of reading that are taken in a second.
     ///
     /// ```
     /// use std::time::Duration;
--- a/lib/src/state/gateway/group_choice.rs
+++ b/lib/src/state/gateway/group_choice.rs
@@ -139,10 +139,6 @@
     if need > room * holders as u64 {
         return ChoiceOutcome::TooLarge;
     }
-    let reading = profile.read_time(ask.size.prompt).as_secs_f64();
-    if prompt_worth(ask.size.prompt) < ask.price * reading {
-        return ChoiceOutcome::TooCostly;
-    }
     let choice = Chooser { profile, ask, candidates, room, need };
     choice.best()
 }
@@ -168,6 +164,10 @@
             }
         }
         let Some((_, choice)) = best else { return self.wait_for_room() };
+        let worth = prompt_worth(self.ask.size.prompt) * (1.0 - self.lateness(choice.first_event));
+        if worth < self.ask.price * alone.as_secs_f64() {
+            return ChoiceOutcome::TooCostly;
+        }
         let backlog = self.candidates[choice.first].load.backlog;
         if choice.first_event > self.ask.give_up {
             return ChoiceOutcome::Hopeless(choice.first_event - self.ask.give_up);
--- a/lib/src/transport/gateway/context.rs
+++ b/lib/src/transport/gateway/context.rs
@@ -28,6 +28,8 @@
     pub(crate) telemetry: Telemetry,
     /// Told when a request ends or a belief changes, for requests that wait here.
     pub(crate) room: Notify,
+    /// Told when this host sends a request to engines, which its peers must know at once.
+    pub(crate) engines_taken: Notify,
     /// Told when a peer knows something newer of the configuration or the servers.
     pub(crate) newer_known: Notify,
     /// Told when this host's load changes, for its peers.
--- a/lib/src/transport/gateway/event_relay.rs
+++ b/lib/src/transport/gateway/event_relay.rs
@@ -155,6 +155,7 @@
 ) -> PartEnd {
     let pause = exchange.ask.route.gap.unwrap_or_default() * PAUSES_SILENT;
     let silence = LEAST_SILENCE.max(pause);
+    let mut last = exchange.ctx.now();
     loop {
         let left = exchange.ask.deadline.since(exchange.ctx.now());
         let event = match timeout(silence.min(left), relay.next()).await {
@@ -164,6 +165,9 @@
             Err(_) if left <= silence => return PartEnd::OutOfTime,
             Err(_) => return PartEnd::Broken,
         };
+        let now = exchange.ctx.now();
+        exchange.longest_pause = exchange.longest_pause.max(now.since(last));
+        last = now;
         if event.id.is_some() {
             exchange.ask.last_event = event.id;
         }
--- a/lib/src/transport/gateway/exchange.rs
+++ b/lib/src/transport/gateway/exchange.rs
@@ -52,6 +52,8 @@
 const DEFAULT_BODY: usize = 4 * 1024 * 1024;
 /// The largest answer of a plain service that is held until it is whole.
 const MAX_HELD_ANSWER: usize = 4 * 1024 * 1024;
+/// The expected time to the first event from which peers are told of a send at once.
+const LONG_READING: Duration = Duration::from_millis(150);
 /// Header fields that concern one connection only.
 const CONNECTION_FIELDS: [HeaderName; 7] = [
     header::CONNECTION,
@@ -104,7 +106,7 @@
         Ok(ask) => ask,
         Err(refusal) => return early(refusal),
     };
-    let mut exchange = Exchange { ctx, head, body, ask, arrived, is_over: false, first_sent: None };
+    let mut exchange = Exchange { ctx, head, body, ask, arrived, is_over: false, first_sent: None, longest_pause: Duration::ZERO };
     Ok(exchange.run().await.unwrap_or_else(|stream| stream.start(exchange)))
 }
 
@@ -185,6 +187,8 @@
     pub(crate) arrived: Moment,
     is_over: bool,
     first_sent: Option<Moment>,
+    /// The longest pause between two events of its stream.
+    pub(crate) longest_pause: Duration,
 }
 
 impl Drop for Exchange {
@@ -288,6 +292,9 @@
             match placement {
                 GatewayPlacement::Send(dispatch) => {
                     ctx.load_changed.notify_one();
+                    if dispatch.expected > LONG_READING {
+                        ctx.engines_taken.notify_one();
+                    }
                     return Ok(*dispatch);
                 }
                 GatewayPlacement::Refuse(refusal) => return Err(refusal),
@@ -515,6 +522,7 @@
                 "unreached" => self.ask.unreached,
                 "prompt" => self.ask.size.map_or(0, |size| size.prompt),
                 "last_event" => self.ask.last_event.unwrap_or(0),
+                "pause_ms" => self.longest_pause.as_millis() as u64,
                 "back_ms" => back.map_or(-1, |back| back.as_millis() as i64),
                 "age_ms" => now.since(self.arrived).as_millis() as u64);
         }
--- a/lib/src/transport/gateway/peer_socket.rs
+++ b/lib/src/transport/gateway/peer_socket.rs
@@ -51,9 +51,15 @@
         }
         let sent = Instant::now();
         let pause = LEAST_PAUSE + PAUSE_PER_PEER * addresses.len() as u32;
-        // Running out of time is the regular summary.
-        let _ = timeout_at(sent + SUMMARY_INTERVAL, ctx.load_changed.notified()).await;
-        sleep_until(sent + pause.min(SUMMARY_INTERVAL)).await;
+        let usual = async {
+            // Running out of time is the regular summary.
+            let _ = timeout_at(sent + SUMMARY_INTERVAL, ctx.load_changed.notified()).await;
+            sleep_until(sent + pause.min(SUMMARY_INTERVAL)).await;
+        };
+        tokio::select! {
+            () = usual => {}
+            () = ctx.engines_taken.notified() => {}
+        }
     }
 }
 
--- a/lib/src/transport/gateway/process.rs
+++ b/lib/src/transport/gateway/process.rs
@@ -120,6 +120,7 @@
         telemetry: Telemetry::new(log),
         room: Notify::new(),
         load_changed: Notify::new(),
+        engines_taken: Notify::new(),
         newer_known: Notify::new(),
         buffered: Cell::new(0),
         buffer_limit: (settings.memory_mb / BODY_MEMORY_PART) as usize * 1024 * 1024,
