--- a/lib/src/coordination/gateway/mod.rs
+++ b/lib/src/coordination/gateway/mod.rs
@@ -3,22 +3,22 @@
 //! [`Gateway`] takes times and messages as input and returns decisions as values. It reads no
 //! clock, opens no socket and starts no thread; the transport and the tests drive it alike.
 
-pub(crate) mod request;
 pub(crate) mod beliefs;
 pub(crate) mod peers;
 pub(crate) mod place;
 pub(crate) mod queue;
 pub(crate) mod refusal;
+pub(crate) mod request;
 pub(crate) mod resend;
 pub(crate) mod servers;
 pub(crate) mod stop;
 
-pub use request::*;
 pub use beliefs::*;
 pub use peers::*;
 pub use place::*;
 pub use queue::*;
 pub use refusal::*;
+pub use request::*;
 pub use resend::*;
 pub use servers::*;
 pub use stop::*;
@@ -126,8 +126,6 @@
     }
 
     fn is_doubtful(&self, server: &ServerId, now: Moment) -> bool {
-        self.health
-            .get(server)
-            .is_some_and(|health| health.is_avoided(now) || health.is_doubtful())
+        self.health.get(server).is_some_and(|health| health.is_avoided(now) || health.is_doubtful())
     }
 }
--- a/lib/src/coordination/gateway/peers.rs
+++ b/lib/src/coordination/gateway/peers.rs
@@ -212,9 +212,7 @@
     /// Returns how many live peers that can read the store come before this host, in an order that
     /// all hosts share.
     pub(crate) fn rank(&self, now: Moment) -> usize {
-        self.live(now)
-            .filter(|peer| peer.is_usable && peer.incarnation < self.incarnation)
-            .count()
+        self.live(now).filter(|peer| peer.is_usable && peer.incarnation < self.incarnation).count()
     }
 
     fn live(&self, now: Moment) -> impl Iterator<Item = &Peer> {
--- a/lib/src/coordination/gateway/place.rs
+++ b/lib/src/coordination/gateway/place.rs
@@ -4,15 +4,15 @@
 
 use rand::Rng;
 
-use super::GatewayRequest;
 use super::Gateway;
 use super::GatewayRefusal;
+use super::GatewayRequest;
 use super::RefusalReason;
-use crate::state::GroupCandidate;
 use crate::state::Answer;
 use crate::state::ChoiceOutcome;
 use crate::state::EngineAsk;
 use crate::state::EngineProfile;
+use crate::state::GroupCandidate;
 use crate::state::GroupChoice;
 use crate::state::Moment;
 use crate::state::PauseClass;
@@ -122,9 +122,10 @@
         let usable: Vec<Server> =
             open.iter().filter(|one| !self.is_avoided(one, now)).cloned().collect();
         let usable = if usable.is_empty() { open } else { usable };
-        let profile = self.catalog.as_ref().and_then(|catalog| {
-            catalog.service(&ask.service).and_then(|service| service.engine)
-        });
+        let profile = self
+            .catalog
+            .as_ref()
+            .and_then(|catalog| catalog.service(&ask.service).and_then(|service| service.engine));
         match (profile, ask.size) {
             (Some(profile), Some(size)) => self.place_at_engines(now, ask, &profile, size, &usable),
             _ => self.place_at_server(now, ask, usable),
@@ -188,15 +189,20 @@
             .iter()
             .map(|server| {
                 let load = self.board.load(&server.id, now);
-                GroupCandidate { load, doubtful: load.doubtful || self.is_doubtful(&server.id, now) }
+                GroupCandidate {
+                    load,
+                    doubtful: load.doubtful || self.is_doubtful(&server.id, now),
+                }
             })
             .collect();
+        let behind: Duration = candidates.iter().map(|candidate| candidate.load.backlog).sum();
+        let behind = (behind + ahead).as_secs_f64() / candidates.len().max(1) as f64;
         let engine_ask = EngineAsk {
             size,
             pauses: ask.pauses(),
             on_time: ask.on_time(now),
             give_up: ask.give_up.since(now),
-            price: reading_price(self.load_factor(now, candidates.len())),
+            price: reading_price(self.load_factor(now, candidates.len()), behind),
         };
         let outcome = choose_group(profile, &engine_ask, &candidates);
         let queued = ahead + self.peers.queued(now);
@@ -271,7 +277,8 @@
             .iter()
             .map(|helper| Helper {
                 server: servers[helper.position].clone(),
-                ticket: (helper.held > 0).then(|| self.new_ticket(send, helper.position, helper.held)),
+                ticket: (helper.held > 0)
+                    .then(|| self.new_ticket(send, helper.position, helper.held)),
             })
             .collect();
         let held: u64 = choice.helpers.iter().map(|helper| helper.held).sum();
@@ -301,12 +308,17 @@
     }
 
     /// Sends `ask` to the server that has the fewest requests for its slots.
-    fn place_at_server(&mut self, now: Moment, ask: &mut GatewayRequest, servers: Vec<Server>) -> GatewayPlacement {
+    fn place_at_server(
+        &mut self,
+        now: Moment,
+        ask: &mut GatewayRequest,
+        servers: Vec<Server>,
+    ) -> GatewayPlacement {
         let zone = self.bounds.zone.clone();
         let mut scored: Vec<(f64, Server)> = Vec::new();
         for server in servers {
             let load = self.board.load(&server.id, now);
-            let mut score = f64::from(load.running) / f64::from(server.slots.max(1));
+            let mut score = f64::from(load.total()) / f64::from(server.slots.max(1));
             if load.doubtful || self.is_doubtful(&server.id, now) {
                 score += 2.0;
             }
--- a/lib/src/coordination/gateway/queue.rs
+++ b/lib/src/coordination/gateway/queue.rs
@@ -45,7 +45,13 @@
 
     /// Returns the reading time of the requests that go before `ticket`, or before a new request of
     /// the given worth and reading time.
-    pub fn ahead_of(&self, now: Moment, ticket: Option<u64>, worth: f64, reading: Duration) -> Duration {
+    pub fn ahead_of(
+        &self,
+        now: Moment,
+        ticket: Option<u64>,
+        worth: f64,
+        reading: Duration,
+    ) -> Duration {
         let own = ticket.and_then(|ticket| self.waiters.iter().find(|one| one.ticket == ticket));
         let new = Waiter { ticket: u64::MAX, worth, reading, since: now };
         let own = own.unwrap_or(&new);
--- a/lib/src/coordination/gateway/request.rs
+++ b/lib/src/coordination/gateway/request.rs
@@ -92,7 +92,11 @@
 
 impl Gateway {
     /// Judges a request by its head.
-    pub fn judge(&mut self, now: Moment, facts: &RequestFacts) -> Result<GatewayRequest, GatewayRefusal> {
+    pub fn judge(
+        &mut self,
+        now: Moment,
+        facts: &RequestFacts,
+    ) -> Result<GatewayRequest, GatewayRefusal> {
         let refuse = |reason| Err(GatewayRefusal::new(reason));
         let back = |reason| Err(GatewayRefusal::come_back(reason, BACK_UNCONFIGURED));
         let Some(catalog) = self.catalog.clone() else {
--- a/lib/src/coordination/gateway/resend.rs
+++ b/lib/src/coordination/gateway/resend.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use super::GatewayRequest;
 use super::Dispatch;
 use super::Gateway;
 use super::GatewayRefusal;
+use super::GatewayRequest;
 use super::RefusalReason;
 use super::not_run_only;
 use crate::state::Moment;
--- a/lib/src/protocol/gateway/load_wire.rs
+++ b/lib/src/protocol/gateway/load_wire.rs
@@ -46,7 +46,7 @@
 struct WireLoad {
     server: u64,
     backlog_ms: u32,
-    running: u32,
+    running: [u32; PauseClass::ALL.len()],
     at_stake: [f32; PauseClass::ALL.len()],
     tokens: u64,
     is_doubtful: bool,
@@ -82,8 +82,7 @@
         Some(&version) => return Err(DatagramError::OtherVersion(version)),
         None => return Err(DatagramError::Malformed),
     }
-    let wire: WireSummary =
-        postcard::from_bytes(datagram).map_err(|_| DatagramError::Malformed)?;
+    let wire: WireSummary = postcard::from_bytes(datagram).map_err(|_| DatagramError::Malformed)?;
     Ok(PeerSummary::from(wire))
 }
 
--- a/lib/src/state/gateway/board.rs
+++ b/lib/src/state/gateway/board.rs
@@ -79,8 +79,8 @@
 pub struct ServerLoad {
     /// How much longer the server reads prompts.
     pub backlog: Duration,
-    /// The requests whose answer is written here.
-    pub running: u32,
+    /// The requests whose answer is written here, by how sensitive they are to pauses.
+    pub running: [u32; PauseClass::ALL.len()],
     /// What these answers are worth, by how sensitive they are to pauses.
     pub at_stake: [f64; PauseClass::ALL.len()],
     /// The tokens of memory that all of them take.
@@ -101,9 +101,21 @@
         self.at_stake[pauses as usize]
     }
 
+    /// Returns the number of all requests whose answer is written here.
+    ///
+    /// ```
+    /// use wasabicrank_lib::state::ServerLoad;
+    /// assert_eq!(ServerLoad { running: [2, 0, 1], ..ServerLoad::default() }.total(), 3);
+    /// ```
+    pub fn total(&self) -> u32 {
+        self.running.iter().sum()
+    }
+
     fn add(&mut self, other: &ServerLoad) {
         self.backlog = self.backlog.max(other.backlog);
-        self.running += other.running;
+        for (own, theirs) in self.running.iter_mut().zip(other.running) {
+            *own += theirs;
+        }
         for (own, theirs) in self.at_stake.iter_mut().zip(other.at_stake) {
             *own += theirs;
         }
@@ -135,7 +147,7 @@
         let mut load = ServerLoad { backlog: self.reads_until.since(now), ..ServerLoad::default() };
         for own in &self.shares {
             if let Some(answer) = own.share.writes {
-                load.running += 1;
+                load.running[answer.pauses as usize] += 1;
                 load.at_stake[answer.pauses as usize] += answer.worth;
             }
             load.tokens += own.share.tokens;
@@ -184,10 +196,10 @@
     /// Adds a send's work at `server`.
     pub fn start(&mut self, server: &ServerId, send: SendId, share: Share, now: Moment) {
         let backlog = self.load(server, now).backlog;
-        let own = self.own.entry(server.clone()).or_insert_with(|| OwnLoad {
-            digest: server.digest(),
-            ..OwnLoad::default()
-        });
+        let own = self
+            .own
+            .entry(server.clone())
+            .or_insert_with(|| OwnLoad { digest: server.digest(), ..OwnLoad::default() });
         let is_reading = !share.reading.is_zero();
         if is_reading {
             own.reads_until = now + backlog + share.reading;
@@ -220,7 +232,12 @@
     }
 
     /// Takes a peer's summary in place of its earlier one.
-    pub fn hear(&mut self, peer: u64, loads: impl IntoIterator<Item = (u64, ServerLoad)>, now: Moment) {
+    pub fn hear(
+        &mut self,
+        peer: u64,
+        loads: impl IntoIterator<Item = (u64, ServerLoad)>,
+        now: Moment,
+    ) {
         let loads = loads.into_iter().collect();
         self.peers.insert(peer, PeerSummary { heard: now, loads });
         self.peers.retain(|_, summary| now.since(summary.heard) <= SUMMARY_LIFE);
--- a/lib/src/state/gateway/demand.rs
+++ b/lib/src/state/gateway/demand.rs
@@ -10,7 +10,9 @@
 /// The load factor from which the engines' time is scarce.
 const SCARCE_FROM: f64 = 0.4;
 /// What a second of reading must be worth at a load factor of one more.
-const PRICE_SLOPE: f64 = 20.0;
+const LOAD_PRICE: f64 = 14.0;
+/// What a second of reading must be worth for each second that all engines are behind.
+const BACKLOG_PRICE: f64 = 8.0;
 
 /// The engines' time that requests take in a second, averaged over some seconds.
 #[derive(Debug, Clone, Copy, Default)]
@@ -42,14 +44,14 @@
     }
 }
 
-/// Returns what a second of an engine's reading must be worth at a load factor: nothing while there
-/// is enough for all.
+/// Returns what a second of an engine's reading must be worth at a load factor, with so many seconds
+/// of reading before each engine: nothing while there is enough for all.
 ///
 /// ```
 /// use wasabicrank_lib::state::reading_price;
-/// assert_eq!(reading_price(0.4), 0.0);
-/// assert!(reading_price(1.0) > 4.0);
+/// assert_eq!(reading_price(0.4, 0.0), 0.0);
+/// assert!(reading_price(1.0, 0.5) > reading_price(1.0, 0.0));
 /// ```
-pub fn reading_price(load_factor: f64) -> f64 {
-    (load_factor - SCARCE_FROM).max(0.0) * PRICE_SLOPE
+pub fn reading_price(load_factor: f64, backlog: f64) -> f64 {
+    (load_factor - SCARCE_FROM).max(0.0) * LOAD_PRICE + backlog * BACKLOG_PRICE
 }
--- a/lib/src/state/gateway/group_choice.rs
+++ b/lib/src/state/gateway/group_choice.rs
@@ -15,6 +15,8 @@
 
 /// The most engines that read one prompt: the first one and its helpers.
 const GROUP_MAX: usize = 16;
+/// The least reading that is worth another engine.
+const LEAST_PART: Duration = Duration::from_millis(40);
 /// The most helpers whose memory holds a part of one prompt.
 const HOLDERS_MAX: usize = 4;
 /// What each holder beside the first engine costs: orders, and one more engine that can fail it.
@@ -31,16 +33,25 @@
 /// 800 ms, less one pass and the prompts that are read in the same one.
 const READ_LIMITS: [Duration; PauseClass::ALL.len()] =
     [Duration::from_millis(110), Duration::from_millis(410), Duration::from_millis(700)];
-/// What part of its worth a running answer is charged for a reading at the limit.
-const SLIGHT_HARM: f64 = 0.05;
+/// How steeply the harm rises up to the limit: short prompts come often, and several may be read in
+/// one pass.
+const READ_POWERS: [i32; PauseClass::ALL.len()] = [3, 6, 8];
 /// What part of the objective the first event may take by the estimate.
 const SAFE_PART: f64 = 0.8;
-/// What taking an engine without short requests for one costs.
-const OPEN_COST: f64 = 0.25;
-/// What each further place in the common order costs, so that hosts fill engines alike.
+/// How many short requests one engine of their pool runs before the pool grows.
+const TIGHT_PER_ENGINE: u32 = 12;
+/// What taking an engine outside the pool costs a short request.
+const OUTSIDE_COST: f64 = 0.6;
+/// What an engine of the pool costs a long request, beside what its answers lose.
+const POOL_COST: f64 = 0.3;
+/// What each further place in the common order costs short requests, so that they leave the other
+/// engines soon when they become fewer.
+const PACK_COST: f64 = 0.01;
+/// What each further place in the common order costs long requests, so that they stay away from the
+/// pool of short ones.
 const ORDER_COST: f64 = 0.004;
 /// What each further engine in a group costs.
-const MEMBER_COST: f64 = 0.02;
+const MEMBER_COST: f64 = 0.005;
 /// What a place at an engine costs that lately failed requests.
 const DOUBT_COST: f64 = 2.0;
 /// The slots that stay free at each engine, for requests that other hosts send meanwhile.
@@ -123,6 +134,22 @@
     BASE_WORTH + tokens as f64 / TOKENS_PER_WORTH
 }
 
+/// Returns how many engines the short requests share, by how many of them run.
+fn tight_pool(candidates: &[GroupCandidate]) -> usize {
+    let running: u32 =
+        candidates.iter().map(|one| one.load.running[PauseClass::Tight as usize]).sum();
+    let pool = running / TIGHT_PER_ENGINE + 1;
+    (pool as usize).min(candidates.len())
+}
+
+/// Returns what part of its worth an answer is taken to lose when its engine reads for `reading`
+/// beside it: nearly nothing well below the limit, since readings come in different passes.
+fn read_harm(pauses: PauseClass, reading: Duration) -> f64 {
+    let limit = READ_LIMITS[pauses as usize];
+    let share = reading.as_secs_f64() / limit.as_secs_f64();
+    LATE_LOSS * share.min(1.0).powi(READ_POWERS[pauses as usize])
+}
+
 /// Chooses engines for `ask` among `candidates`, which share `profile`.
 pub fn choose_group(
     profile: &EngineProfile,
@@ -139,7 +166,8 @@
     if need > room * holders as u64 {
         return ChoiceOutcome::TooLarge;
     }
-    let choice = Chooser { profile, ask, candidates, room, need };
+    let pool = tight_pool(candidates);
+    let choice = Chooser { profile, ask, candidates, room, need, pool };
     choice.best()
 }
 
@@ -149,13 +177,16 @@
     candidates: &'a [GroupCandidate],
     room: u64,
     need: u64,
+    /// The number of engines, from the start of the common order, that short requests share.
+    pool: usize,
 }
 
 impl Chooser<'_> {
     fn best(&self) -> ChoiceOutcome {
         let alone = self.profile.read_time(self.ask.size.prompt);
         let mut best: Option<(f64, GroupChoice)> = None;
-        let most = if self.profile.joint && alone > READ_LIMITS[0] { GROUP_MAX } else { 1 };
+        let parts = alone.as_secs_f64() / LEAST_PART.as_secs_f64();
+        let most = if self.profile.joint { (parts as usize).clamp(1, GROUP_MAX) } else { 1 };
         for count in 1..=most.min(self.candidates.len()) {
             let part = alone / count as u32;
             let Some((cost, choice)) = self.group(count, part) else { continue };
@@ -186,15 +217,17 @@
     /// Returns the best group of `count` engines that read `part` each, with its cost.
     fn group(&self, count: usize, part: Duration) -> Option<(f64, GroupChoice)> {
         let mut order: Vec<(f64, usize)> = (0..self.candidates.len())
-            .map(|position| (self.place_cost(position, part, count > 1), position))
+            .map(|position| {
+                let behind = self.candidates[position].load.backlog.as_secs_f64();
+                (self.place_cost(position, part, count > 1) + behind, position)
+            })
             .collect();
         order.sort_by(|a, b| a.0.total_cmp(&b.0));
         let (first, mut others) = self.pick_first(&order, count)?;
         others.truncate(count - 1);
         let helpers = self.divide_memory(first, &others)?;
         let members = || others.iter().copied().chain([first]);
-        let backlog =
-            members().map(|position| self.candidates[position].load.backlog).max()?;
+        let backlog = members().map(|position| self.candidates[position].load.backlog).max()?;
         let first_event = backlog + part + self.pass(first) + FIRST_EVENT_EXTRA;
         let places: f64 =
             members().map(|position| self.place_cost(position, part, count > 1)).sum();
@@ -214,8 +247,7 @@
         let has_slot = |position: &usize| self.has_slot(*position);
         let positions: Vec<usize> = order.iter().map(|(_, position)| *position).collect();
         let members = if count == 1 { &positions[..] } else { &positions[..count] };
-        let alone =
-            members.iter().copied().find(|at| has_slot(at) && self.free(*at) >= self.need);
+        let alone = members.iter().copied().find(|at| has_slot(at) && self.free(*at) >= self.need);
         let roomiest = || {
             let open = members.iter().copied().filter(|at| count > 1 && has_slot(at));
             open.max_by_key(|at| self.free(*at))
@@ -250,29 +282,28 @@
     fn place_cost(&self, position: usize, part: Duration, is_joint: bool) -> f64 {
         let candidate = &self.candidates[position];
         let load = &candidate.load;
-        let mut cost = load.backlog.as_secs_f64();
+        let mut cost = 0.0;
         if candidate.doubtful {
             cost += DOUBT_COST;
         }
         for pauses in PauseClass::ALL {
-            let limit = READ_LIMITS[pauses as usize];
-            let share = part.as_secs_f64() / limit.as_secs_f64();
-            let harm = if share > 1.0 { LATE_LOSS } else { SLIGHT_HARM * share };
+            let harm = read_harm(pauses, load.backlog + part) - read_harm(pauses, load.backlog);
             cost += load.stake(pauses) * harm;
         }
         match self.ask.pauses {
             PauseClass::Tight => {
-                if load.stake(PauseClass::Tight) == 0.0 {
-                    cost += OPEN_COST;
-                }
-                if load.stake(PauseClass::Loose) + load.stake(PauseClass::Wide) > 0.0 {
-                    cost += OPEN_COST;
+                if position >= self.pool {
+                    cost += OUTSIDE_COST + ORDER_COST * position as f64;
                 }
-                cost += ORDER_COST * position as f64;
+                cost += load.backlog.as_secs_f64();
+                cost += PACK_COST * position as f64;
             }
             PauseClass::Loose | PauseClass::Wide => {
                 let from_end = self.candidates.len() - 1 - position;
                 cost += ORDER_COST * from_end as f64;
+                if load.running[PauseClass::Tight as usize] > 0 {
+                    cost += POOL_COST;
+                }
                 if is_joint {
                     cost += MEMBER_COST;
                 }
@@ -283,7 +314,7 @@
 
     fn has_slot(&self, position: usize) -> bool {
         let load = &self.candidates[position].load;
-        load.running + FREE_SLOTS < self.profile.slots.max(FREE_SLOTS + 1)
+        load.total() + FREE_SLOTS < self.profile.slots.max(FREE_SLOTS + 1)
     }
 
     /// Returns the tokens of memory that are free at a candidate.
@@ -293,7 +324,7 @@
 
     /// Returns how long the pass under way may still take before the prompt is looked at.
     fn pass(&self, position: usize) -> Duration {
-        match self.candidates[position].load.running {
+        match self.candidates[position].load.total() {
             0 => Duration::ZERO,
             _ => self.profile.pass_time(),
         }
--- a/lib/src/transport/gateway/clock.rs
+++ b/lib/src/transport/gateway/clock.rs
@@ -22,9 +22,8 @@
     ///
     /// A clock that cannot be read counts as infinitely late, so that nothing is taken for fresh.
     pub fn now(&self) -> Moment {
-        read_micros().map_or(Moment(u64::MAX), |micros| {
-            Moment(micros.saturating_sub(self.start_micros))
-        })
+        read_micros()
+            .map_or(Moment(u64::MAX), |micros| Moment(micros.saturating_sub(self.start_micros)))
     }
 }
 
--- a/lib/src/transport/gateway/exchange.rs
+++ b/lib/src/transport/gateway/exchange.rs
@@ -36,11 +36,11 @@
 use super::telemetry::RequestLabel;
 use super::upstream::SendError;
 use super::upstream::Upstream;
-use crate::coordination::GatewayRequest;
 use crate::coordination::Dispatch;
+use crate::coordination::GatewayPlacement;
 use crate::coordination::GatewayRefusal;
+use crate::coordination::GatewayRequest;
 use crate::coordination::NextStep;
-use crate::coordination::GatewayPlacement;
 use crate::coordination::RefusalReason;
 use crate::coordination::SendResult;
 use crate::state::Moment;
@@ -106,7 +106,16 @@
         Ok(ask) => ask,
         Err(refusal) => return early(refusal),
     };
-    let mut exchange = Exchange { ctx, head, body, ask, arrived, is_over: false, first_sent: None, longest_pause: Duration::ZERO };
+    let mut exchange = Exchange {
+        ctx,
+        head,
+        body,
+        ask,
+        arrived,
+        is_over: false,
+        first_sent: None,
+        longest_pause: Duration::ZERO,
+    };
     Ok(exchange.run().await.unwrap_or_else(|stream| stream.start(exchange)))
 }
 
@@ -138,8 +147,8 @@
 ) -> Response<AnswerBody> {
     let text = format!("{{\"reason\":\"{}\"}}", refusal.reason.name());
     let mut response = Response::new(AnswerBody::whole(text));
-    *response.status_mut() = StatusCode::from_u16(refusal.reason.status())
-        .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    *response.status_mut() =
+        StatusCode::from_u16(refusal.reason.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let fields = response.headers_mut();
     fields.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if let Some(after) = refusal.come_back {
@@ -325,7 +334,8 @@
     /// Sends the request once and reads the answer up to where it can be judged.
     pub(crate) async fn send(&mut self, dispatch: Dispatch) -> (Sent, Dispatch) {
         let copy = dispatch.clone();
-        let mut live = LiveSend { ctx: self.ctx.clone(), dispatch, upstream: None, tickets: Vec::new() };
+        let mut live =
+            LiveSend { ctx: self.ctx.clone(), dispatch, upstream: None, tickets: Vec::new() };
         let sent = match self.exchange_heads(&mut live).await {
             Ok((head, body)) => self.read_answer(live, head, body).await,
             Err(result) => Sent::Result(result, None),
@@ -481,7 +491,7 @@
             "helpers" => dispatch.helpers.len(),
             "expected_ms" => dispatch.expected.as_millis() as u64,
             "backlog_ms" => load.backlog.as_millis() as u64,
-            "running" => load.running, "at_stake" => format!("{:.1?}", load.at_stake),
+            "running" => load.total(), "at_stake" => format!("{:.1?}", load.at_stake),
             "catalog_version" => gateway.catalog().map_or(0, |catalog| catalog.version()));
     }
 
@@ -513,7 +523,9 @@
     ) {
         self.is_over = true;
         let now = self.ctx.now();
-        self.ctx.telemetry.count_request(RequestLabel { kind: kind_name(self.ask.route.kind), outcome });
+        self.ctx
+            .telemetry
+            .count_request(RequestLabel { kind: kind_name(self.ask.route.kind), outcome });
         if let Some(log) = self.ctx.telemetry.line(now, kind) {
             info!(log, "request ended"; "request" => &self.ask.id, "outcome" => outcome,
                 "status" => status, "route" => &*self.ask.route.name,
--- /dev/null
+++ b/lib/tests/test_gateway_beliefs.rs
@@ -0,0 +1,196 @@
+//! What the gateway believes of the configuration and the servers, and whose word it takes.
+
+mod gateways;
+
+use gateways::*;
+use test_case::test_case;
+use wasabicrank_lib::coordination::*;
+use wasabicrank_lib::protocol::decode_summary;
+use wasabicrank_lib::protocol::encode_summary;
+use wasabicrank_lib::state::*;
+
+#[test]
+fn an_older_version_is_ignored_and_verifies_nothing() {
+    let mut gateway = empty_gateway(1);
+    gateway.install_catalog(Catalog::new(parts(7)), at(0));
+    let change = gateway.install_catalog(Catalog::new(parts(5)), at(9_000));
+    assert_eq!(change, CatalogChange::Older);
+    assert_eq!(gateway.catalog().unwrap().version(), 7);
+    assert_eq!(gateway.catalog_age(at(9_000)), Some(ms(9_000)));
+}
+
+/// Two hosts that heard each other at `heard`; the second has version `version` of the
+/// configuration, verified at `verified`.
+struct Vouching {
+    version: u64,
+    verified: u64,
+    heard: u64,
+    told: u64,
+    usable_at: u64,
+    is_usable: bool,
+}
+
+const VOUCHED: Vouching = Vouching {
+    version: 1,
+    verified: 4_000,
+    heard: 4_100,
+    told: 4_150,
+    usable_at: 6_000,
+    is_usable: true,
+};
+
+#[test_case(VOUCHED ; "a peer vouches for the version in force")]
+#[test_case(Vouching { version: 2, is_usable: false, ..VOUCHED } ; "not for another version")]
+#[test_case(Vouching { usable_at: 8_300, is_usable: false, ..VOUCHED } ; "not for longer than its own reading counts")]
+#[test_case(Vouching { heard: 100, told: 7_000, verified: 6_990, usable_at: 7_000, is_usable: false, ..VOUCHED } ; "a message that waited is as old as the last echo")]
+fn peers_vouch_no_younger_than_they_read(case: Vouching) {
+    let mut host = gateway(1);
+    let mut peer = gateway(2);
+    host.set_seeds(address(1), vec![address(2)]);
+    peer.set_seeds(address(2), vec![address(1)]);
+    tell(&mut host, 1, &mut peer, at(case.heard));
+    peer.install_catalog(Catalog::new(parts(case.version)), at(case.verified));
+    tell(&mut peer, 2, &mut host, at(case.told));
+    let is_usable = host.judge(at(case.usable_at), &facts("/often/x")).is_ok();
+    assert_eq!(is_usable, case.is_usable);
+}
+
+#[test]
+fn a_peer_that_never_heard_this_start_vouches_for_nothing() {
+    let mut host = gateway(1);
+    let mut peer = gateway(2);
+    host.set_seeds(address(1), vec![address(2)]);
+    peer.verify_catalog(1, at(4_000));
+    tell(&mut peer, 2, &mut host, at(4_100));
+    assert!(host.judge(at(4_600), &facts("/often/x")).is_err());
+}
+
+#[test]
+fn a_newer_version_at_a_peer_is_read_at_once() {
+    let mut host = gateway(1);
+    let mut peer = gateway(2);
+    assert!(!host.catalog_read_in(at(10)).is_zero());
+    peer.install_catalog(Catalog::new(parts(2)), at(5));
+    tell(&mut peer, 2, &mut host, at(10));
+    assert!(host.catalog_read_in(at(10)).is_zero());
+}
+
+#[test]
+fn one_host_reads_for_all_and_the_next_takes_over() {
+    let mut hosts: Vec<Gateway> = (1..=4).map(gateway).collect();
+    for from in 0..hosts.len() {
+        let summary = hosts[from].peer_summary(at(10));
+        for (to, host) in hosts.iter_mut().enumerate() {
+            if to != from {
+                let heard = PeerHeard { from: address(from as u8), summary: summary.clone() };
+                host.hear_peer(at(10), heard);
+            }
+        }
+    }
+    let waits: Vec<_> = hosts.iter().map(|host| host.catalog_read_in(at(10))).collect();
+    assert!(waits.windows(2).all(|pair| pair[0] < pair[1]), "{waits:?}");
+    // A change must be in force two seconds after it, whoever reads.
+    assert!(waits.iter().all(|wait| *wait < ms(1_900)), "{waits:?}");
+    // A host that hears nobody reads for itself.
+    assert!(hosts[3].catalog_read_in(at(3_000)).is_zero());
+}
+
+struct Readiness {
+    own_age: u64,
+    peer_age: Option<u64>,
+    is_ready: bool,
+}
+
+#[test_case(Readiness { own_age: 100, peer_age: None, is_ready: true } ; "fresh alone")]
+#[test_case(Readiness { own_age: 5_000, peer_age: None, is_ready: true } ; "stale without peers")]
+#[test_case(Readiness { own_age: 5_000, peer_age: Some(5_000), is_ready: true } ; "all are stale alike")]
+#[test_case(Readiness { own_age: 5_000, peer_age: Some(100), is_ready: false } ; "a peer is fresh")]
+fn a_host_is_unready_only_for_a_cause_of_its_own(case: Readiness) {
+    let now = 10_000;
+    let mut host = empty_gateway(1);
+    host.install_catalog(Catalog::new(parts(1)), at(now - case.own_age));
+    if let Some(age) = case.peer_age {
+        let mut peer = empty_gateway(2);
+        peer.install_catalog(Catalog::new(parts(1)), at(now - age));
+        tell(&mut peer, 2, &mut host, at(now));
+    }
+    assert_eq!(host.is_ready(at(now)), case.is_ready);
+}
+
+struct Relisted {
+    had_outage: bool,
+    after: u64,
+    is_kept: bool,
+}
+
+#[test_case(Relisted { had_outage: false, after: 0, is_kept: false } ; "gone without an outage")]
+#[test_case(Relisted { had_outage: true, after: 1_000, is_kept: true } ; "kept for a while after an outage")]
+#[test_case(Relisted { had_outage: true, after: 1_900, is_kept: false } ; "gone if it does not come back")]
+fn a_server_that_lapsed_during_an_outage_has_time_to_come_back(case: Relisted) {
+    let mut list = ServerList::default();
+    list.apply(ServerChange::Listed(server("p-1", "plain", 1)));
+    list.apply(ServerChange::Listed(server("p-2", "plain", 2)));
+    list.replace(vec![server("p-2", "plain", 2)], case.had_outage, at(0));
+    list.drop_missing(at(case.after));
+    let is_kept = list.of_service(&ServiceName::new("plain")).len() == 2;
+    assert_eq!(is_kept, case.is_kept);
+}
+
+#[test]
+fn a_second_list_does_not_give_missing_servers_more_time() {
+    let mut list = ServerList::default();
+    list.apply(ServerChange::Listed(server("p-1", "plain", 1)));
+    list.replace(Vec::new(), true, at(0));
+    list.replace(Vec::new(), true, at(1_500));
+    list.drop_missing(at(1_800));
+    assert!(list.is_empty());
+}
+
+#[test]
+fn a_restart_under_the_same_id_is_another_server() {
+    let mut list = ServerList::default();
+    let first = server("p-1", "plain", 1);
+    let second = Server { id: ServerId { id: "p-1".into(), born: 2 }, ..first.clone() };
+    list.apply(ServerChange::Listed(first.clone()));
+    list.apply(ServerChange::Listed(second.clone()));
+    assert!(!list.contains(&first.id) && list.contains(&second.id));
+    assert_eq!(list.len(), 1);
+}
+
+#[test]
+fn a_change_that_only_a_peer_knows_of_is_missed() {
+    let mut host = gateway(1);
+    let mut peer = gateway(2);
+    host.cover_servers(40, Some(40));
+    peer.cover_servers(45, Some(45));
+    tell(&mut peer, 2, &mut host, at(10));
+    assert!(host.misses_server_change(at(10)));
+    host.cover_servers(45, None);
+    assert!(!host.misses_server_change(at(10)));
+}
+
+#[test]
+fn an_overtaken_message_changes_nothing() {
+    let mut host = gateway(1);
+    let mut peer = gateway(2);
+    let early = peer.peer_summary(at(0));
+    peer.install_catalog(Catalog::new(parts(3)), at(0));
+    tell(&mut peer, 2, &mut host, at(1));
+    host.hear_peer(at(2), PeerHeard { from: address(2), summary: early });
+    assert!(host.catalog_read_in(at(2)).is_zero());
+}
+
+#[test]
+fn summaries_come_back_as_they_were_but_no_younger() {
+    let mut peer = gateway(3);
+    let mut ask = peer.judge(at(0), &facts("/stream/x")).unwrap();
+    assert!(matches!(peer.place(at(0), &mut ask), GatewayPlacement::Send(_)));
+    let mut host = gateway(4);
+    tell(&mut host, 4, &mut peer, at(1));
+    let summary = peer.peer_summary(at(3));
+    let decoded = decode_summary(&encode_summary(&summary).unwrap()).unwrap();
+    assert!(decoded.age >= summary.age);
+    assert_eq!(decoded.known, summary.known);
+    assert_eq!(decoded.loads.len(), 1);
+    assert_eq!(decoded.loads[0].1.running, summary.loads[0].1.running);
+}
--- /dev/null
+++ b/workload/src/gateway/replay.rs
@@ -0,0 +1,609 @@
+//! Plays a load against the gateway's decisions on several hosts.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use wasabicrank_lib::coordination::Dispatch;
+use wasabicrank_lib::coordination::Gateway;
+use wasabicrank_lib::coordination::GatewayBounds;
+use wasabicrank_lib::coordination::GatewayPlacement;
+use wasabicrank_lib::coordination::GatewayRefusal;
+use wasabicrank_lib::coordination::GatewayRequest;
+use wasabicrank_lib::coordination::NextStep;
+use wasabicrank_lib::coordination::PeerHeard;
+use wasabicrank_lib::coordination::SendResult;
+use wasabicrank_lib::coordination::ServerChange;
+use wasabicrank_lib::state::Backend;
+use wasabicrank_lib::state::BudgetBounds;
+use wasabicrank_lib::state::CallerLimits;
+use wasabicrank_lib::state::Catalog;
+use wasabicrank_lib::state::CatalogParts;
+use wasabicrank_lib::state::EngineProfile;
+use wasabicrank_lib::state::Moment;
+use wasabicrank_lib::state::RequestFacts;
+use wasabicrank_lib::state::Route;
+use wasabicrank_lib::state::RouteKind;
+use wasabicrank_lib::state::Server;
+use wasabicrank_lib::state::ServerId;
+use wasabicrank_lib::state::ServiceName;
+use wasabicrank_lib::state::ServiceSpec;
+use wasabicrank_lib::state::ZoneName;
+
+use super::engine::Engine;
+use super::engine::EngineEvent;
+use super::engine::EngineFault;
+use super::engine::JobId;
+use super::load::Arrival;
+use super::load::GatewayLoad;
+
+/// The way between a host and an engine, or a host and another.
+const WAY: Duration = Duration::from_millis(2);
+/// The shortest time between two summaries of a host to its peers.
+const SUMMARY_PAUSE: Duration = Duration::from_millis(16);
+/// The expected time to the first event from which peers are told at once.
+const TOLD_AT_ONCE: Duration = Duration::from_millis(150);
+/// The host that routes name.
+const HOST: &str = "replay.example";
+
+/// What a load is played against.
+#[derive(Debug, Clone)]
+pub struct ReplaySetup {
+    /// The number of entry hosts.
+    pub hosts: usize,
+    /// The number of engines.
+    pub engines: usize,
+    /// The figures of each engine.
+    pub profile: EngineProfile,
+    /// The engines that have a fault, by position.
+    pub faults: Vec<(usize, EngineFault)>,
+}
+
+impl ReplaySetup {
+    /// Returns today's deployments: five hosts before sixteen engines.
+    pub fn today() -> ReplaySetup {
+        let profile = EngineProfile {
+            slots: 16,
+            memory: 450_000,
+            step_ms: 0.925,
+            read_rate: 256_000.0,
+            pairs_ms: 0.0917,
+            pass_steps: 46,
+            usual_answer: 1_540,
+            joint: true,
+        };
+        ReplaySetup { hosts: 5, engines: 16, profile, faults: Vec::new() }
+    }
+
+    /// Returns the grown deployments: thirty hosts before fifty-four engines.
+    pub fn grown() -> ReplaySetup {
+        let mut setup = ReplaySetup::today();
+        setup.hosts = 30;
+        setup.engines = 54;
+        setup.profile.slots = 12;
+        setup.profile.pass_steps = 52;
+        setup
+    }
+}
+
+/// What became of the requests of one kind.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct KindResult {
+    /// All requests.
+    pub asked: u32,
+    /// Those that were answered on time.
+    pub on_time: u32,
+    /// Those that were answered late.
+    pub late: u32,
+    /// Those whose first event came too late.
+    pub late_first: u32,
+    /// Those that were refused in the end.
+    pub refused: u32,
+    /// What was earned of the worth.
+    pub earned: f64,
+    /// The whole worth.
+    pub owed: f64,
+    /// Requests among the largest tenth, and how many of these were served.
+    pub large: (u32, u32),
+}
+
+/// What a replay brought.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ReplayReport {
+    /// By kind, in the load's order.
+    pub kinds: Vec<KindResult>,
+    /// The part of the worth that was earned in each span of two seconds, by arrival.
+    pub windows: Vec<f64>,
+    /// The same by kind, in the load's order.
+    pub kind_windows: Vec<Vec<f64>>,
+}
+
+impl ReplayReport {
+    /// Returns the part of the worth that was earned.
+    pub fn earned(&self) -> f64 {
+        let earned: f64 = self.kinds.iter().map(|kind| kind.earned).sum();
+        let owed: f64 = self.kinds.iter().map(|kind| kind.owed).sum();
+        earned / owed.max(f64::MIN_POSITIVE)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive(usize),
+    Look(usize),
+    PassEnd(usize),
+    AtEngine(JobId),
+    FirstEvent(JobId),
+    Silence(JobId),
+    Leave(usize),
+    Summarize(usize),
+}
+
+struct Job {
+    request: usize,
+    dispatch: Dispatch,
+    parts_left: usize,
+    first: usize,
+    is_over: bool,
+    has_begun: bool,
+}
+
+struct Caller {
+    arrival: Arrival,
+    host: usize,
+    ask: Option<GatewayRequest>,
+    tries: u32,
+    job: Option<JobId>,
+    first_event: Option<Moment>,
+    last_event: Option<Moment>,
+    longest_pause: Duration,
+    end: Option<End>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    Answered,
+    Refused,
+    Left,
+}
+
+struct World<'a> {
+    load: &'a GatewayLoad,
+    setup: &'a ReplaySetup,
+    now: Moment,
+    queue: BinaryHeap<Reverse<(Moment, u64, Event)>>,
+    order: u64,
+    gateways: Vec<Gateway>,
+    is_summary_due: Vec<bool>,
+    engines: Vec<Engine>,
+    positions: HashMap<ServerId, usize>,
+    jobs: HashMap<JobId, Job>,
+    last_job: JobId,
+    callers: Vec<Caller>,
+    random: SmallRng,
+}
+
+/// Plays `load` against `setup`.
+pub fn replay(setup: &ReplaySetup, load: &GatewayLoad) -> ReplayReport {
+    let mut world = World::new(setup, load);
+    while let Some(Reverse((at, _, event))) = world.queue.pop() {
+        world.now = at;
+        world.handle(event);
+    }
+    world.report()
+}
+
+impl<'a> World<'a> {
+    fn new(setup: &'a ReplaySetup, load: &'a GatewayLoad) -> World<'a> {
+        let servers: Vec<Server> = (0..setup.engines).map(server).collect();
+        let gateways = (0..setup.hosts).map(|host| gateway(setup, load, host, &servers)).collect();
+        let fault = |at| setup.faults.iter().find(|(one, _)| *one == at).map(|(_, fault)| *fault);
+        let engines = (0..setup.engines).map(|at| Engine::new(setup.profile, fault(at)));
+        let mut random = SmallRng::seed_from_u64(load.seed ^ 0x5eed);
+        let callers: Vec<Caller> = load
+            .arrivals()
+            .into_iter()
+            .map(|arrival| Caller {
+                host: random.random_range(0..setup.hosts),
+                arrival,
+                ask: None,
+                tries: 0,
+                job: None,
+                first_event: None,
+                last_event: None,
+                longest_pause: Duration::ZERO,
+                end: None,
+            })
+            .collect();
+        let mut world = World {
+            load,
+            setup,
+            now: Moment(0),
+            queue: BinaryHeap::new(),
+            order: 0,
+            gateways,
+            is_summary_due: vec![false; setup.hosts],
+            engines: engines.collect(),
+            positions: servers.iter().enumerate().map(|(at, one)| (one.id.clone(), at)).collect(),
+            jobs: HashMap::new(),
+            last_job: 0,
+            callers,
+            random,
+        };
+        for request in 0..world.callers.len() {
+            let at = world.callers[request].arrival.at;
+            world.schedule(at, Event::Arrive(request));
+        }
+        world
+    }
+
+    fn schedule(&mut self, at: Moment, event: Event) {
+        self.order += 1;
+        self.queue.push(Reverse((at, self.order, event)));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(request) => self.arrive(request),
+            Event::Look(request) => self.look(request),
+            Event::PassEnd(engine) => self.end_pass(engine),
+            Event::AtEngine(job) => self.begin_job(job),
+            Event::FirstEvent(job) => self.first_event(job),
+            Event::Silence(job) => self.silence(job),
+            Event::Leave(request) => self.leave(request),
+            Event::Summarize(host) => self.summarize(host),
+        }
+    }
+
+    fn kind(&self, request: usize) -> &super::load::SheetKind {
+        &self.load.kinds[self.callers[request].arrival.kind]
+    }
+
+    fn arrive(&mut self, request: usize) {
+        let kind = self.kind(request).clone();
+        let caller = &mut self.callers[request];
+        caller.tries += 1;
+        let left = (caller.arrival.at + kind.patience).since(self.now);
+        let facts = RequestFacts {
+            id: format!("{request}-{}", caller.tries),
+            host: HOST.to_owned(),
+            path: format!("/{}/", caller.arrival.kind),
+            patience: Some(left),
+            size: Some(caller.arrival.size),
+            ..RequestFacts::default()
+        };
+        match self.gateways[caller.host].judge(self.now, &facts) {
+            Ok(ask) => {
+                caller.ask = Some(ask);
+                self.schedule(self.now + kind.first_patience().min(left), Event::Leave(request));
+                self.look(request);
+            }
+            Err(refusal) => self.refuse(request, refusal),
+        }
+    }
+
+    fn look(&mut self, request: usize) {
+        let caller = &mut self.callers[request];
+        if caller.end.is_some() || caller.job.is_some() {
+            return;
+        }
+        let Some(ask) = caller.ask.as_mut() else { return };
+        match self.gateways[caller.host].place(self.now, ask) {
+            GatewayPlacement::Send(dispatch) => self.send(request, *dispatch),
+            GatewayPlacement::Wait(time) => self.schedule(self.now + time, Event::Look(request)),
+            GatewayPlacement::Refuse(refusal) => self.refuse(request, refusal),
+        }
+    }
+
+    fn send(&mut self, request: usize, dispatch: Dispatch) {
+        let caller = &mut self.callers[request];
+        if let Some(ask) = caller.ask.as_mut() {
+            self.gateways[caller.host].record_sent(ask);
+        }
+        self.last_job += 1;
+        let id = self.last_job;
+        caller.job = Some(id);
+        let host = caller.host;
+        let limit = dispatch.silence_limit;
+        let is_told_at_once = dispatch.expected > TOLD_AT_ONCE;
+        let job = Job {
+            request,
+            parts_left: dispatch.helpers.len() + 1,
+            first: self.positions[&dispatch.server.id],
+            dispatch,
+            is_over: false,
+            has_begun: false,
+        };
+        self.jobs.insert(id, job);
+        self.schedule(self.now + WAY, Event::AtEngine(id));
+        self.schedule(limit, Event::Silence(id));
+        if is_told_at_once {
+            self.summarize(host);
+        } else {
+            self.load_changed(host);
+        }
+    }
+
+    fn begin_job(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id).filter(|job| !job.is_over) else { return };
+        let size = self.callers[job.request].arrival.size;
+        let parts = job.parts_left as f64;
+        let ms = self.setup.profile.read_time(size.prompt).as_secs_f64() * 1_000.0 / parts;
+        let tokens = size.prompt as f64 / parts;
+        let servers: Vec<usize> =
+            job.dispatch.servers().map(|server| self.positions[&server.id]).collect();
+        for (at, engine) in servers.into_iter().enumerate() {
+            self.engines[engine].read(id, tokens, ms, at > 0);
+            self.start_pass(engine);
+        }
+    }
+
+    fn start_pass(&mut self, engine: usize) {
+        if self.engines[engine].is_startable() {
+            let ms = self.engines[engine].begin_pass();
+            let end = self.now + Duration::from_secs_f64(ms / 1_000.0);
+            self.schedule(end, Event::PassEnd(engine));
+        }
+    }
+
+    fn end_pass(&mut self, engine: usize) {
+        for event in self.engines[engine].end_pass() {
+            match event {
+                EngineEvent::PartRead(id) => self.part_read(id),
+                EngineEvent::Event(id) => self.next_event(id),
+                EngineEvent::Complete(id) => self.complete(id),
+            }
+        }
+        self.start_pass(engine);
+    }
+
+    fn part_read(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.is_over) else { return };
+        job.parts_left -= 1;
+        if job.parts_left > 0 {
+            return;
+        }
+        let arrival = &self.callers[job.request].arrival;
+        let first = job.first;
+        self.engines[first].write(id, arrival.answer, arrival.size.prompt);
+        self.schedule(self.now + WAY, Event::FirstEvent(id));
+        self.start_pass(first);
+    }
+
+    fn first_event(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.is_over) else { return };
+        job.has_begun = true;
+        let caller = &mut self.callers[job.request];
+        caller.first_event = Some(self.now);
+        caller.last_event = Some(self.now);
+        self.gateways[caller.host].first_event(self.now, &job.dispatch);
+        let host = caller.host;
+        self.load_changed(host);
+    }
+
+    fn next_event(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id).filter(|job| !job.is_over) else { return };
+        let caller = &mut self.callers[job.request];
+        if let Some(last) = caller.last_event {
+            caller.longest_pause = caller.longest_pause.max((self.now + WAY).since(last));
+        }
+        caller.last_event = Some(self.now + WAY);
+    }
+
+    fn complete(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.is_over) else { return };
+        job.is_over = true;
+        let caller = &mut self.callers[job.request];
+        caller.end = Some(End::Answered);
+        self.gateways[caller.host].record_answer(self.now, &job.dispatch);
+        self.gateways[caller.host].finish(self.now, &job.dispatch);
+        let host = caller.host;
+        self.load_changed(host);
+    }
+
+    /// Ends a job at its engines.
+    fn stop_job(&mut self, id: JobId) -> Option<Dispatch> {
+        let job = self.jobs.get_mut(&id).filter(|job| !job.is_over)?;
+        job.is_over = true;
+        let dispatch = job.dispatch.clone();
+        let request = job.request;
+        for server in dispatch.servers() {
+            self.engines[self.positions[&server.id]].cancel(id);
+        }
+        let host = self.callers[request].host;
+        self.gateways[host].finish(self.now, &dispatch);
+        self.callers[request].job = None;
+        self.load_changed(host);
+        Some(dispatch)
+    }
+
+    fn silence(&mut self, id: JobId) {
+        if self.jobs.get(&id).is_none_or(|job| job.has_begun) {
+            return;
+        }
+        let Some(dispatch) = self.stop_job(id) else { return };
+        let request = self.jobs[&id].request;
+        let caller = &mut self.callers[request];
+        let Some(ask) = caller.ask.as_mut() else { return };
+        let gateway = &mut self.gateways[caller.host];
+        match gateway.after_send(self.now, ask, &dispatch, &SendResult::Lost) {
+            NextStep::PlaceAgain => self.look(request),
+            NextStep::Refuse(refusal) => self.refuse(request, refusal),
+            NextStep::RelayFailure | NextStep::CutAnswer => caller.end = Some(End::Refused),
+        }
+    }
+
+    fn refuse(&mut self, request: usize, refusal: GatewayRefusal) {
+        let patience = self.kind(request).patience;
+        let caller = &mut self.callers[request];
+        let left = (caller.arrival.at + patience).since(self.now);
+        caller.ask = None;
+        match refusal.come_back {
+            Some(back) if caller.tries < 2 => {
+                caller.host = self.random.random_range(0..self.setup.hosts);
+                let at = self.now + back.min(left / 3);
+                self.schedule(at, Event::Arrive(request));
+            }
+            _ => caller.end = Some(End::Refused),
+        }
+    }
+
+    fn leave(&mut self, request: usize) {
+        let caller = &mut self.callers[request];
+        if caller.end.is_some() || caller.first_event.is_some() || caller.ask.is_none() {
+            return;
+        }
+        caller.end = Some(End::Left);
+        if let Some(ask) = caller.ask.as_mut() {
+            self.gateways[caller.host].leave_queue(ask);
+        }
+        if let Some(id) = caller.job {
+            self.stop_job(id);
+        }
+    }
+
+    fn load_changed(&mut self, host: usize) {
+        if !self.is_summary_due[host] {
+            self.is_summary_due[host] = true;
+            self.schedule(self.now + SUMMARY_PAUSE, Event::Summarize(host));
+        }
+    }
+
+    /// Tells the peers; the way is left out, since the pause before is longer.
+    fn summarize(&mut self, host: usize) {
+        self.is_summary_due[host] = false;
+        let summary = self.gateways[host].peer_summary(self.now);
+        for peer in 0..self.setup.hosts {
+            if peer != host {
+                let heard = PeerHeard { from: address(host), summary: summary.clone() };
+                self.gateways[peer].hear_peer(self.now, heard);
+            }
+        }
+    }
+
+    fn report(&self) -> ReplayReport {
+        let mut report = ReplayReport {
+            kinds: vec![KindResult::default(); self.load.kinds.len()],
+            ..ReplayReport::default()
+        };
+        let mut windows: Vec<(f64, f64)> = Vec::new();
+        for (position, result) in report.kinds.iter_mut().enumerate() {
+            let mut sizes: Vec<u64> = self
+                .callers
+                .iter()
+                .filter(|caller| caller.arrival.kind == position)
+                .map(|caller| caller.arrival.size.prompt)
+                .collect();
+            sizes.sort_unstable();
+            let large = sizes.get(sizes.len() * 9 / 10).copied().unwrap_or(u64::MAX);
+            let mut own: Vec<(f64, f64)> = Vec::new();
+            for caller in self.callers.iter().filter(|one| one.arrival.kind == position) {
+                let (owed, earned) = self.count(caller, large, result);
+                let window = (caller.arrival.at.0 / 2_000_000) as usize;
+                for sums in [&mut windows, &mut own] {
+                    sums.resize(sums.len().max(window + 1), (0.0, 0.0));
+                    sums[window].0 += earned;
+                    sums[window].1 += owed;
+                }
+            }
+            report.kind_windows.push(parts(&own));
+        }
+        report.windows = parts(&windows);
+        report
+    }
+
+    /// Counts one caller; returns its worth and what was earned of it.
+    fn count(&self, caller: &Caller, large: u64, result: &mut KindResult) -> (f64, f64) {
+        let kind = &self.load.kinds[caller.arrival.kind];
+        let (worth, late_worth) = kind.worth_of(caller.arrival.size.prompt);
+        let is_large = caller.arrival.size.prompt >= large;
+        result.asked += 1;
+        result.owed += worth;
+        result.large.0 += u32::from(is_large);
+        if caller.end != Some(End::Answered) {
+            result.refused += 1;
+            return (worth, 0.0);
+        }
+        result.large.1 += u32::from(is_large);
+        let first = caller.first_event.map_or(Duration::MAX, |at| at.since(caller.arrival.at));
+        let is_first_late = first > kind.objective;
+        result.late_first += u32::from(is_first_late);
+        let is_late = is_first_late || caller.longest_pause > kind.gap;
+        let earned = if is_late { late_worth } else { worth };
+        result.late += u32::from(is_late);
+        result.on_time += u32::from(!is_late);
+        result.earned += earned;
+        (worth, earned)
+    }
+}
+
+/// Returns the part that was earned in each window; a window in which nothing was owed counts as
+/// earned.
+fn parts(windows: &[(f64, f64)]) -> Vec<f64> {
+    let part = |(earned, owed): &(f64, f64)| if *owed > 0.0 { earned / owed } else { 1.0 };
+    windows.iter().map(part).collect()
+}
+
+fn address(host: usize) -> Ipv4Addr {
+    Ipv4Addr::from(0x0a01_0001 + host as u32)
+}
+
+fn server(position: usize) -> Server {
+    Server {
+        id: ServerId { id: format!("engine-{position:02}").into(), born: 1 },
+        service: ServiceName::new("engines"),
+        address: ([10, 9, 0, position as u8 + 1], 8_000).into(),
+        zone: ZoneName::new("zone"),
+        slots: 16,
+        draining: false,
+    }
+}
+
+fn gateway(setup: &ReplaySetup, load: &GatewayLoad, host: usize, servers: &[Server]) -> Gateway {
+    let bounds = GatewayBounds {
+        zone: ZoneName::new("zone"),
+        revoke: Duration::from_secs(100_000),
+        budget: BudgetBounds { ratio: 0.2, slack: 104.0, window: Duration::from_secs(10) },
+    };
+    let mut gateway = Gateway::new(bounds, load.seed.wrapping_mul(1_000) + host as u64 + 1);
+    gateway.set_seeds(address(host), Vec::new());
+    let routes = load.kinds.iter().enumerate().map(|(position, kind)| Route {
+        name: Arc::from(kind.name),
+        host: HOST.to_owned(),
+        prefix: format!("/{position}/"),
+        kind: RouteKind::Stream { resumable: true },
+        timeout: kind.patience,
+        objective: kind.objective,
+        gap: Some(kind.gap),
+        priority: 1,
+        backends: vec![Backend { service: ServiceName::new("engines"), weight: 1 }],
+        attempts: 2,
+        public: true,
+    });
+    let parts = CatalogParts {
+        version: 1,
+        routes: routes.collect(),
+        services: vec![ServiceSpec {
+            name: ServiceName::new("engines"),
+            engine: Some(setup.profile),
+        }],
+        limits: CallerLimits {
+            head_bytes: 16_384,
+            body_bytes: 4_194_304,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+        keys: HashMap::new(),
+    };
+    gateway.install_catalog(Catalog::new(parts), Moment(0));
+    for server in servers {
+        gateway.apply_server(ServerChange::Listed(server.clone()));
+    }
+    gateway
+}
--- a/workload/src/lib.rs
+++ b/workload/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`replay`] plays a seeded list of arrivals in virtual time against the core's decisions and
 //! against [`naive`] routers.
 
+pub mod gateway;
 pub mod load;
 pub mod naive;
 pub mod replay;
