--- a/lib/src/state/gateway/demand.rs
+++ b/lib/src/state/gateway/demand.rs
@@ -12,7 +12,7 @@
 /// What a second of reading must be worth at a load factor of one more.
 const LOAD_PRICE: f64 = 14.0;
 /// What a second of reading must be worth for each second that all engines are behind.
-const BACKLOG_PRICE: f64 = 8.0;
+const BACKLOG_PRICE: f64 = 4.0;
 
 /// The engines' time that requests take in a second, averaged over some seconds.
 #[derive(Debug, Clone, Copy, Default)]
--- a/lib/src/state/gateway/group_choice.rs
+++ b/lib/src/state/gateway/group_choice.rs
@@ -16,7 +16,7 @@
 /// The most engines that read one prompt: the first one and its helpers.
 const GROUP_MAX: usize = 16;
 /// The least reading that is worth another engine.
-const LEAST_PART: Duration = Duration::from_millis(40);
+const LEAST_PART: Duration = Duration::from_millis(10);
 /// The most helpers whose memory holds a part of one prompt.
 const HOLDERS_MAX: usize = 4;
 /// What each holder beside the first engine costs: orders, and one more engine that can fail it.
@@ -28,30 +28,37 @@
 const BASE_WORTH: f64 = 0.8;
 const TOKENS_PER_WORTH: f64 = 10_000.0;
 /// What part of its worth an answer loses when it is late, from the users' sheets.
-const LATE_LOSS: f64 = 0.75;
+const LATE_LOSS: f64 = 0.64;
 /// The longest reading at once that makes no answer of each class late: of pauses of 200, 500 and
 /// 800 ms, less one pass and the prompts that are read in the same one.
 const READ_LIMITS: [Duration; PauseClass::ALL.len()] =
     [Duration::from_millis(110), Duration::from_millis(410), Duration::from_millis(700)];
+/// What part of its worth an answer of each class loses to a reading at the limit: for the most
+/// sensitive also what those lose that arrive meanwhile, and little more than half for the others,
+/// whose events often fall between two passes.
+const READ_HARMS: [f64; PauseClass::ALL.len()] = [1.28, 0.64, 0.38];
 /// How steeply the harm rises up to the limit: short prompts come often, and several may be read in
 /// one pass.
-const READ_POWERS: [i32; PauseClass::ALL.len()] = [3, 6, 8];
+const READ_POWERS: [i32; PauseClass::ALL.len()] = [9, 6, 8];
 /// What part of the objective the first event may take by the estimate.
 const SAFE_PART: f64 = 0.8;
 /// How many short requests one engine of their pool runs before the pool grows.
-const TIGHT_PER_ENGINE: u32 = 12;
+const TIGHT_PER_ENGINE: u32 = 4;
+/// What part of its worth a request gains by an event at once over one that is just on time, for the
+/// engines are then free for others.
+const EARLY_GAIN: f64 = 0.2;
 /// What taking an engine outside the pool costs a short request.
 const OUTSIDE_COST: f64 = 0.6;
 /// What an engine of the pool costs a long request, beside what its answers lose.
 const POOL_COST: f64 = 0.3;
 /// What each further place in the common order costs short requests, so that they leave the other
 /// engines soon when they become fewer.
-const PACK_COST: f64 = 0.01;
+const PACK_COST: f64 = 0.003;
 /// What each further place in the common order costs long requests, so that they stay away from the
 /// pool of short ones.
-const ORDER_COST: f64 = 0.004;
+const ORDER_COST: f64 = 0.005;
 /// What each further engine in a group costs.
-const MEMBER_COST: f64 = 0.005;
+const MEMBER_COST: f64 = 0.007;
 /// What a place at an engine costs that lately failed requests.
 const DOUBT_COST: f64 = 2.0;
 /// The slots that stay free at each engine, for requests that other hosts send meanwhile.
@@ -61,7 +68,7 @@
 /// The time from a request's arrival at an engine to its first event beyond reading and one pass.
 const FIRST_EVENT_EXTRA: Duration = Duration::from_millis(12);
 /// The longest backlog behind which a request is sent; it waits here otherwise, to be placed anew.
-const LONGEST_BACKLOG: Duration = Duration::from_millis(600);
+const LONGEST_BACKLOG: Duration = Duration::from_millis(300);
 
 /// An engine that may take the request; the order of all candidates is common to all hosts.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -147,7 +154,7 @@
 fn read_harm(pauses: PauseClass, reading: Duration) -> f64 {
     let limit = READ_LIMITS[pauses as usize];
     let share = reading.as_secs_f64() / limit.as_secs_f64();
-    LATE_LOSS * share.min(1.0).powi(READ_POWERS[pauses as usize])
+    READ_HARMS[pauses as usize] * share.min(1.0).powi(READ_POWERS[pauses as usize])
 }
 
 /// Chooses engines for `ask` among `candidates`, which share `profile`.
@@ -334,6 +341,6 @@
     fn lateness(&self, first_event: Duration) -> f64 {
         let on_time = self.ask.on_time.mul_f64(SAFE_PART).as_secs_f64().max(1e-3);
         let share = first_event.as_secs_f64() / on_time;
-        if share <= 1.0 { 0.1 * share } else { LATE_LOSS + 0.02 * share.min(10.0) }
+        if share <= 1.0 { EARLY_GAIN * share } else { LATE_LOSS + 0.02 * share.min(10.0) }
     }
 }
