--- a/lib/src/coordination/gateway/place.rs
+++ b/lib/src/coordination/gateway/place.rs
@@ -28,7 +28,7 @@
 /// the expected time and this. Callers of short prompts leave after two seconds; reading a long
 /// prompt again costs more than waiting for it.
 const SHORT_SLACK: Duration = Duration::from_millis(600);
-const LONG_SLACK: Duration = Duration::from_millis(2_500);
+const LONG_SLACK: Duration = Duration::from_millis(3_500);
 /// How long a plain service may take for a request that can be repeated, before it is sent to
 /// another server: well over what nearly all of these calls take.
 const REPEAT_AFTER: Duration = Duration::from_millis(350);
@@ -303,7 +303,10 @@
             PauseClass::Tight => SHORT_SLACK,
             PauseClass::Loose | PauseClass::Wide => LONG_SLACK,
         };
-        let limit = now + expected * 2 + slack;
+        let limit = match self.can_repeat(now, ask) {
+            true => now + expected * 2 + slack,
+            false => ask.deadline,
+        };
         self.dispatch(now, ask, send, first, helpers, expected, limit, Some(urgency))
     }
 
@@ -336,11 +339,20 @@
         let answer = Answer { pauses: ask.pauses(), worth: prompt_worth(0) };
         let share = Share { reading: Duration::ZERO, tokens: 0, writes: Some(answer) };
         self.board.start(&server.id, send, share, now);
-        let can_repeat = ask.is_repeatable() && ask.sends + 1 < ask.route.attempts;
-        let limit = if can_repeat { now + REPEAT_AFTER } else { ask.deadline };
+        let limit = match self.can_repeat(now, ask) {
+            true => now + REPEAT_AFTER,
+            false => ask.deadline,
+        };
         self.dispatch(now, ask, send, server, Vec::new(), Duration::ZERO, limit, None)
     }
 
+    /// Returns whether the request could be sent to another server after this send; one that could
+    /// not be waits for its answer as long as its caller does.
+    fn can_repeat(&mut self, now: Moment, ask: &GatewayRequest) -> bool {
+        let has_attempt = ask.is_repeatable() && ask.sends + 1 < ask.route.attempts;
+        has_attempt && self.budget(&ask.service).left(now) >= 1.0
+    }
+
     #[allow(clippy::too_many_arguments)]
     fn dispatch(
         &mut self,
--- a/lib/src/state/gateway/group_choice.rs
+++ b/lib/src/state/gateway/group_choice.rs
@@ -61,7 +61,7 @@
 const MEMBER_COST: f64 = 0.007;
 /// What a place at an engine costs that lately failed requests.
 const DOUBT_COST: f64 = 2.0;
-/// The slots that stay free at each engine, for requests that other hosts send meanwhile.
+/// The slots that stay free at each engine for short prompts that can still be answered on time.
 const FREE_SLOTS: u32 = 2;
 /// The part of an engine's memory that requests are placed in.
 const MEMORY_PART: f64 = 0.93;
@@ -321,7 +321,9 @@
 
     fn has_slot(&self, position: usize) -> bool {
         let load = &self.candidates[position].load;
-        load.total() + FREE_SLOTS < self.profile.slots.max(FREE_SLOTS + 1)
+        let is_urgent = self.ask.pauses == PauseClass::Tight && self.ask.on_time > load.backlog;
+        let kept = if is_urgent { 0 } else { FREE_SLOTS };
+        load.total() + kept < self.profile.slots.max(kept + 1)
     }
 
     /// Returns the tokens of memory that are free at a candidate.
