--- a/lib/src/transport/gateway/memory_tickets.rs
+++ b/lib/src/transport/gateway/memory_tickets.rs
@@ -93,11 +93,10 @@
     loop {
         sleep(RENEWAL).await;
         let renewed = ctx.dialect.reserve_order(&server, &ticket, HOLD);
-        if order(&server, &ctx, renewed).await != Some(OrderOutcome::Done) {
-            if let Some(log) = ctx.telemetry.line(ctx.now(), LineKind::Failure) {
-                info!(log, "memory not renewed"; "server" => &*server.id.id,
-                    "ticket" => &ticket.name);
-            }
+        let is_renewed = order(&server, &ctx, renewed).await == Some(OrderOutcome::Done);
+        let line = if is_renewed { None } else { ctx.telemetry.line(ctx.now(), LineKind::Failure) };
+        if let Some(log) = line {
+            info!(log, "memory not renewed"; "server" => &*server.id.id, "ticket" => &ticket.name);
         }
     }
 }
--- /dev/null
+++ b/lib/tests/test_gateway_choice.rs
@@ -0,0 +1,126 @@
+//! Which engines take a request, one pattern of load a case.
+
+use std::time::Duration;
+
+use test_case::test_case;
+use wasabicrank_lib::state::*;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn profile() -> EngineProfile {
+    EngineProfile {
+        slots: 16,
+        memory: 450_000,
+        step_ms: 0.925,
+        read_rate: 256_000.0,
+        pairs_ms: 0.0917,
+        pass_steps: 46,
+        usual_answer: 1_540,
+        joint: true,
+    }
+}
+
+fn ask(prompt: u64) -> EngineAsk {
+    let is_short = prompt < 24_000;
+    EngineAsk {
+        size: PromptSize { prompt, answer: 800 },
+        pauses: if is_short { PauseClass::Tight } else { PauseClass::Wide },
+        on_time: if is_short { ms(300) } else { ms(3_000) },
+        give_up: if is_short { ms(2_000) } else { ms(12_000) },
+        price: 0.0,
+    }
+}
+
+fn idle() -> GroupCandidate {
+    GroupCandidate { load: ServerLoad::default(), doubtful: false }
+}
+
+fn with_short(count: u32) -> GroupCandidate {
+    let load = ServerLoad {
+        running: [count, 0, 0],
+        at_stake: [f64::from(count) * 1.3, 0.0, 0.0],
+        tokens: u64::from(count) * 6_000,
+        ..ServerLoad::default()
+    };
+    GroupCandidate { load, doubtful: false }
+}
+
+fn reading(backlog: u64) -> GroupCandidate {
+    let load = ServerLoad { backlog: ms(backlog), ..ServerLoad::default() };
+    GroupCandidate { load, doubtful: false }
+}
+
+fn sent(ask: &EngineAsk, candidates: &[GroupCandidate]) -> GroupChoice {
+    match choose_group(&profile(), ask, candidates) {
+        ChoiceOutcome::Send(choice) => choice,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn members(choice: &GroupChoice) -> Vec<usize> {
+    choice.helpers.iter().map(|helper| helper.position).chain([choice.first]).collect()
+}
+
+#[test]
+fn a_short_prompt_joins_the_others_and_leaves_idle_engines_alone() {
+    let candidates = [with_short(2), idle(), idle(), idle()];
+    assert_eq!(sent(&ask(5_000), &candidates).first, 0);
+}
+
+#[test]
+fn a_short_prompt_avoids_an_engine_that_reads_a_long_one() {
+    let candidates = [reading(900), with_short(1), idle()];
+    assert_ne!(sent(&ask(5_000), &candidates).first, 0);
+}
+
+#[test]
+fn a_long_prompt_is_split_and_keeps_away_from_short_ones() {
+    let candidates = [with_short(6), with_short(5), idle(), idle(), idle(), idle(), idle(), idle()];
+    let choice = sent(&ask(210_000), &candidates);
+    let members = members(&choice);
+    assert!(members.len() >= 4, "{members:?}");
+    assert!(members.iter().all(|position| *position >= 2), "{members:?}");
+    assert!(choice.first_event < ms(1_000));
+}
+
+#[test]
+fn a_prompt_over_one_engines_memory_is_held_by_several() {
+    let candidates = [idle(); 8];
+    let choice = sent(&ask(600_000), &candidates);
+    let held: u64 = choice.helpers.iter().map(|helper| helper.held).sum();
+    assert!(held >= 600_000 - 450_000, "{held}");
+    assert!(choice.helpers.iter().all(|helper| helper.held <= 450_000));
+}
+
+struct Outcome {
+    prompt: u64,
+    price: f64,
+    candidates: &'static [u64],
+    joint: bool,
+    outcome: fn(&ChoiceOutcome) -> bool,
+}
+
+const SENT: fn(&ChoiceOutcome) -> bool = |outcome| matches!(outcome, ChoiceOutcome::Send(_));
+const WAITS: fn(&ChoiceOutcome) -> bool = |outcome| matches!(outcome, ChoiceOutcome::Wait(_));
+const COSTLY: fn(&ChoiceOutcome) -> bool = |outcome| matches!(outcome, ChoiceOutcome::TooCostly);
+const HOPELESS: fn(&ChoiceOutcome) -> bool =
+    |outcome| matches!(outcome, ChoiceOutcome::Hopeless(_));
+const TOO_LARGE: fn(&ChoiceOutcome) -> bool = |outcome| matches!(outcome, ChoiceOutcome::TooLarge);
+const NO_ENGINE: fn(&ChoiceOutcome) -> bool = |outcome| matches!(outcome, ChoiceOutcome::NoEngine);
+
+#[test_case(Outcome { prompt: 200_000, price: 0.0, candidates: &[0, 0, 0, 0], joint: true, outcome: SENT } ; "idle engines")]
+#[test_case(Outcome { prompt: 200_000, price: 0.0, candidates: &[900, 900], joint: true, outcome: WAITS } ; "all engines read for a while")]
+#[test_case(Outcome { prompt: 900_000, price: 5.0, candidates: &[0; 16], joint: true, outcome: COSTLY } ; "scarce time goes to shorter prompts")]
+#[test_case(Outcome { prompt: 200_000, price: 5.0, candidates: &[0; 16], joint: true, outcome: SENT } ; "a prompt that is worth the scarce time")]
+#[test_case(Outcome { prompt: 5_000, price: 0.0, candidates: &[2_500], joint: true, outcome: HOPELESS } ; "the caller leaves before")]
+#[test_case(Outcome { prompt: 600_000, price: 0.0, candidates: &[0; 8], joint: false, outcome: TOO_LARGE } ; "engines that cannot read together")]
+#[test_case(Outcome { prompt: 5_000, price: 0.0, candidates: &[], joint: true, outcome: NO_ENGINE } ; "no engine at all")]
+fn what_cannot_be_served_is_known_at_once(case: Outcome) {
+    let candidates: Vec<GroupCandidate> = case.candidates.iter().copied().map(reading).collect();
+    let profile = EngineProfile { joint: case.joint, ..profile() };
+    let ask = EngineAsk { price: case.price, ..ask(case.prompt) };
+    let outcome = choose_group(&profile, &ask, &candidates);
+    assert!((case.outcome)(&outcome), "{outcome:?}");
+}
--- /dev/null
+++ b/lib/tests/test_gateway_load.rs
@@ -0,0 +1,89 @@
+//! The heaviest days in virtual time: bursts of long prompts between bursts of short ones, engines
+//! that fall silent or slow, and a steady load. Each case names the pattern that it answers; the
+//! gateway stands beside a router that sends each request to the engine with the fewest requests.
+
+use test_case::test_case;
+use wasabicrank_workload::gateway::EngineFault;
+use wasabicrank_workload::gateway::GatewayLoad;
+use wasabicrank_workload::gateway::KindResult;
+use wasabicrank_workload::gateway::ReplayPolicy;
+use wasabicrank_workload::gateway::ReplayReport;
+use wasabicrank_workload::gateway::ReplaySetup;
+use wasabicrank_workload::gateway::SheetKind;
+use wasabicrank_workload::gateway::replay;
+
+const SEEDS: std::ops::RangeInclusive<u64> = 901..=906;
+
+/// Positions of the kinds in the sheets.
+const QUESTION: usize = 0;
+const REVIEW: usize = 2;
+
+/// Plays a load for each seed.
+fn play(setup: &ReplaySetup, load: impl Fn(u64) -> GatewayLoad) -> Vec<ReplayReport> {
+    SEEDS.map(|seed| replay(setup, &load(seed))).collect()
+}
+
+fn mean(reports: &[ReplayReport], part: impl Fn(&ReplayReport) -> f64) -> f64 {
+    reports.iter().map(part).sum::<f64>() / reports.len() as f64
+}
+
+fn total(reports: &[ReplayReport], kind: usize, part: impl Fn(&KindResult) -> u32) -> f64 {
+    reports.iter().map(|report| f64::from(part(&report.kinds[kind]))).sum()
+}
+
+fn alternating(seed: u64) -> GatewayLoad {
+    GatewayLoad::alternating(SheetKind::today(), seed)
+}
+
+fn calm(seed: u64) -> GatewayLoad {
+    GatewayLoad::even(SheetKind::today(), 1.0, 20, seed)
+}
+
+struct Pattern {
+    load: fn(u64) -> GatewayLoad,
+    faults: &'static [(usize, EngineFault)],
+    /// The part of the worth that must be earned: the site files' upper marks for such days.
+    least: f64,
+}
+
+#[test_case(Pattern { load: alternating, faults: &[], least: 0.60 } ; "bursts of long prompts between bursts of short ones")]
+#[test_case(Pattern { load: calm, faults: &[], least: 0.80 } ; "a steady load of all kinds")]
+#[test_case(Pattern { load: calm, faults: &[(3, EngineFault::Silent)], least: 0.60 } ; "an engine that falls silent")]
+#[test_case(Pattern { load: calm, faults: &[(0, EngineFault::Slow(6))], least: 0.60 } ; "an engine of the short prompts that turns slow")]
+fn more_is_earned_than_by_the_fewest_requests(pattern: Pattern) {
+    let mut setup = ReplaySetup::today();
+    setup.faults = pattern.faults.to_vec();
+    let ours = mean(&play(&setup, pattern.load), ReplayReport::earned);
+    setup.policy = ReplayPolicy::FewestRequests;
+    let other = mean(&play(&setup, pattern.load), ReplayReport::earned);
+    assert!(ours > other, "{ours:.3} beside {other:.3}");
+    assert!(ours >= pattern.least, "{ours:.3} in place of {}", pattern.least);
+}
+
+#[test]
+fn short_prompts_stay_quick_beside_bursts_of_long_ones() {
+    let reports = play(&ReplaySetup::today(), alternating);
+    let asked = total(&reports, QUESTION, |kind| kind.asked);
+    let on_time = total(&reports, QUESTION, |kind| kind.on_time);
+    assert!(on_time / asked >= 0.9, "{on_time} of {asked}");
+}
+
+#[test]
+fn the_largest_prompts_are_served_half_as_often_as_their_kind() {
+    let reports = play(&ReplaySetup::today(), alternating);
+    let asked = total(&reports, REVIEW, |kind| kind.asked);
+    let served = asked - total(&reports, REVIEW, |kind| kind.refused);
+    let large = total(&reports, REVIEW, |kind| kind.large.0);
+    let large_served = total(&reports, REVIEW, |kind| kind.large.1);
+    assert!(large_served / large >= served / asked / 2.0, "{large_served} of {large}");
+}
+
+#[test]
+fn no_kind_is_served_less_than_a_quarter_as_often_as_all() {
+    let reports = play(&ReplaySetup::today(), alternating);
+    for kind in 0..reports[0].kinds.len() {
+        let asked = total(&reports, kind, |kind| kind.asked);
+        let refused = total(&reports, kind, |kind| kind.refused);
+        assert!(refused / asked <= 0.5, "kind {kind}: {refused} of {asked}");
+    }
+}
--- /dev/null
+++ b/workload/src/gateway/fleet.rs
@@ -0,0 +1,90 @@
+//! The hosts and engines of a replay.
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use wasabicrank_lib::coordination::Gateway;
+use wasabicrank_lib::coordination::GatewayBounds;
+use wasabicrank_lib::coordination::ServerChange;
+use wasabicrank_lib::state::Backend;
+use wasabicrank_lib::state::BudgetBounds;
+use wasabicrank_lib::state::CallerLimits;
+use wasabicrank_lib::state::Catalog;
+use wasabicrank_lib::state::CatalogParts;
+use wasabicrank_lib::state::Moment;
+use wasabicrank_lib::state::Route;
+use wasabicrank_lib::state::RouteKind;
+use wasabicrank_lib::state::Server;
+use wasabicrank_lib::state::ServerId;
+use wasabicrank_lib::state::ServiceName;
+use wasabicrank_lib::state::ServiceSpec;
+use wasabicrank_lib::state::ZoneName;
+
+use super::load::GatewayLoad;
+use super::replay::HOST;
+use super::replay::ReplaySetup;
+
+pub(crate) fn address(host: usize) -> Ipv4Addr {
+    Ipv4Addr::from(0x0a01_0001 + host as u32)
+}
+
+pub(crate) fn server(position: usize) -> Server {
+    Server {
+        id: ServerId { id: format!("engine-{position:02}").into(), born: 1 },
+        service: ServiceName::new("engines"),
+        address: ([10, 9, 0, position as u8 + 1], 8_000).into(),
+        zone: ZoneName::new("zone"),
+        slots: 16,
+        draining: false,
+    }
+}
+
+pub(crate) fn gateway(
+    setup: &ReplaySetup,
+    load: &GatewayLoad,
+    host: usize,
+    servers: &[Server],
+) -> Gateway {
+    let bounds = GatewayBounds {
+        zone: ZoneName::new("zone"),
+        revoke: Duration::from_secs(100_000),
+        budget: BudgetBounds { ratio: 0.2, slack: 104.0, window: Duration::from_secs(10) },
+    };
+    let mut gateway = Gateway::new(bounds, load.seed.wrapping_mul(1_000) + host as u64 + 1);
+    gateway.set_seeds(address(host), Vec::new());
+    let routes = load.kinds.iter().enumerate().map(|(position, kind)| Route {
+        name: Arc::from(kind.name),
+        host: HOST.to_owned(),
+        prefix: format!("/{position}/"),
+        kind: RouteKind::Stream { resumable: true },
+        timeout: kind.patience,
+        objective: kind.objective,
+        gap: Some(kind.gap),
+        priority: 1,
+        backends: vec![Backend { service: ServiceName::new("engines"), weight: 1 }],
+        attempts: 2,
+        public: true,
+    });
+    let parts = CatalogParts {
+        version: 1,
+        routes: routes.collect(),
+        services: vec![ServiceSpec {
+            name: ServiceName::new("engines"),
+            engine: Some(setup.profile),
+        }],
+        limits: CallerLimits {
+            head_bytes: 16_384,
+            body_bytes: 4_194_304,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+        keys: HashMap::new(),
+    };
+    gateway.install_catalog(Catalog::new(parts), Moment(0));
+    for server in servers {
+        gateway.apply_server(ServerChange::Listed(server.clone()));
+    }
+    gateway
+}
--- a/workload/src/gateway/replay.rs
+++ b/workload/src/gateway/replay.rs
@@ -3,8 +3,6 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
-use std::net::Ipv4Addr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
@@ -12,36 +10,31 @@
 use rand::rngs::SmallRng;
 use wasabicrank_lib::coordination::Dispatch;
 use wasabicrank_lib::coordination::Gateway;
-use wasabicrank_lib::coordination::GatewayBounds;
 use wasabicrank_lib::coordination::GatewayPlacement;
 use wasabicrank_lib::coordination::GatewayRefusal;
 use wasabicrank_lib::coordination::GatewayRequest;
 use wasabicrank_lib::coordination::NextStep;
 use wasabicrank_lib::coordination::PeerHeard;
 use wasabicrank_lib::coordination::SendResult;
-use wasabicrank_lib::coordination::ServerChange;
-use wasabicrank_lib::state::Backend;
-use wasabicrank_lib::state::BudgetBounds;
-use wasabicrank_lib::state::CallerLimits;
-use wasabicrank_lib::state::Catalog;
-use wasabicrank_lib::state::CatalogParts;
 use wasabicrank_lib::state::EngineProfile;
 use wasabicrank_lib::state::Moment;
 use wasabicrank_lib::state::RequestFacts;
-use wasabicrank_lib::state::Route;
-use wasabicrank_lib::state::RouteKind;
+use wasabicrank_lib::state::SendId;
 use wasabicrank_lib::state::Server;
 use wasabicrank_lib::state::ServerId;
-use wasabicrank_lib::state::ServiceName;
-use wasabicrank_lib::state::ServiceSpec;
-use wasabicrank_lib::state::ZoneName;
 
 use super::engine::Engine;
 use super::engine::EngineEvent;
 use super::engine::EngineFault;
 use super::engine::JobId;
+use super::fleet::address;
+use super::fleet::gateway;
+use super::fleet::server;
 use super::load::Arrival;
 use super::load::GatewayLoad;
+use super::report::KindResult;
+use super::report::ReplayReport;
+use super::report::parts;
 
 /// The way between a host and an engine, or a host and another.
 const WAY: Duration = Duration::from_millis(2);
@@ -50,7 +43,7 @@
 /// The expected time to the first event from which peers are told at once.
 const TOLD_AT_ONCE: Duration = Duration::from_millis(150);
 /// The host that routes name.
-const HOST: &str = "replay.example";
+pub(crate) const HOST: &str = "replay.example";
 
 /// What a load is played against.
 #[derive(Debug, Clone)]
@@ -63,6 +56,18 @@
     pub profile: EngineProfile,
     /// The engines that have a fault, by position.
     pub faults: Vec<(usize, EngineFault)>,
+    /// Who places requests.
+    pub policy: ReplayPolicy,
+}
+
+/// Who places requests in a replay.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReplayPolicy {
+    /// The gateway.
+    Gateway,
+    /// A router that sends each request at once to the engine with the fewest requests, as far as
+    /// its host knows.
+    FewestRequests,
 }
 
 impl ReplaySetup {
@@ -78,7 +83,13 @@
             usual_answer: 1_540,
             joint: true,
         };
-        ReplaySetup { hosts: 5, engines: 16, profile, faults: Vec::new() }
+        ReplaySetup {
+            hosts: 5,
+            engines: 16,
+            profile,
+            faults: Vec::new(),
+            policy: ReplayPolicy::Gateway,
+        }
     }
 
     /// Returns the grown deployments: thirty hosts before fifty-four engines.
@@ -92,54 +103,13 @@
     }
 }
 
-/// What became of the requests of one kind.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct KindResult {
-    /// All requests.
-    pub asked: u32,
-    /// Those that were answered on time.
-    pub on_time: u32,
-    /// Those that were answered late.
-    pub late: u32,
-    /// Those whose first event came too late.
-    pub late_first: u32,
-    /// Those that were refused in the end.
-    pub refused: u32,
-    /// What was earned of the worth.
-    pub earned: f64,
-    /// The whole worth.
-    pub owed: f64,
-    /// Requests among the largest tenth, and how many of these were served.
-    pub large: (u32, u32),
-}
-
-/// What a replay brought.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct ReplayReport {
-    /// By kind, in the load's order.
-    pub kinds: Vec<KindResult>,
-    /// The part of the worth that was earned in each span of two seconds, by arrival.
-    pub windows: Vec<f64>,
-    /// The same by kind, in the load's order.
-    pub kind_windows: Vec<Vec<f64>>,
-}
-
-impl ReplayReport {
-    /// Returns the part of the worth that was earned.
-    pub fn earned(&self) -> f64 {
-        let earned: f64 = self.kinds.iter().map(|kind| kind.earned).sum();
-        let owed: f64 = self.kinds.iter().map(|kind| kind.owed).sum();
-        earned / owed.max(f64::MIN_POSITIVE)
-    }
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive(usize),
     Look(usize),
     PassEnd(usize),
     AtEngine(JobId),
-    FirstEvent(JobId),
+    First(JobId),
     Silence(JobId),
     Leave(usize),
     Summarize(usize),
@@ -254,7 +224,7 @@
             Event::Look(request) => self.look(request),
             Event::PassEnd(engine) => self.end_pass(engine),
             Event::AtEngine(job) => self.begin_job(job),
-            Event::FirstEvent(job) => self.first_event(job),
+            Event::First(job) => self.first_event(job),
             Event::Silence(job) => self.silence(job),
             Event::Leave(request) => self.leave(request),
             Event::Summarize(host) => self.summarize(host),
@@ -294,13 +264,44 @@
             return;
         }
         let Some(ask) = caller.ask.as_mut() else { return };
-        match self.gateways[caller.host].place(self.now, ask) {
+        let mut placement = self.gateways[caller.host].place(self.now, ask);
+        if self.setup.policy == ReplayPolicy::FewestRequests {
+            placement = self.place_by_count(request, placement);
+        }
+        match placement {
             GatewayPlacement::Send(dispatch) => self.send(request, *dispatch),
             GatewayPlacement::Wait(time) => self.schedule(self.now + time, Event::Look(request)),
             GatewayPlacement::Refuse(refusal) => self.refuse(request, refusal),
         }
     }
 
+    /// Replaces the gateway's placement by the engine with the fewest requests of this host.
+    fn place_by_count(&mut self, request: usize, placement: GatewayPlacement) -> GatewayPlacement {
+        let host = self.callers[request].host;
+        let gateway = &mut self.gateways[host];
+        if let GatewayPlacement::Send(dispatch) = &placement {
+            gateway.finish(self.now, dispatch);
+        }
+        let Some(ask) = self.callers[request].ask.as_mut() else { return placement };
+        gateway.leave_queue(ask);
+        let mut counts = vec![0_u32; self.setup.engines];
+        for job in self.jobs.values().filter(|job| !job.is_over) {
+            counts[job.first] += u32::from(self.callers[job.request].host == host);
+        }
+        let first = (0..self.setup.engines).min_by_key(|at| (counts[*at], *at)).unwrap_or(0);
+        self.last_job += 1;
+        let deadline = ask_deadline(&self.callers[request], self.now);
+        GatewayPlacement::Send(Box::new(Dispatch {
+            send: SendId(self.last_job),
+            server: server(first),
+            helpers: Vec::new(),
+            time_left: deadline.since(self.now),
+            expected: Duration::ZERO,
+            silence_limit: deadline,
+            urgency: None,
+        }))
+    }
+
     fn send(&mut self, request: usize, dispatch: Dispatch) {
         let caller = &mut self.callers[request];
         if let Some(ask) = caller.ask.as_mut() {
@@ -372,7 +373,7 @@
         let arrival = &self.callers[job.request].arrival;
         let first = job.first;
         self.engines[first].write(id, arrival.answer, arrival.size.prompt);
-        self.schedule(self.now + WAY, Event::FirstEvent(id));
+        self.schedule(self.now + WAY, Event::First(id));
         self.start_pass(first);
     }
 
@@ -543,67 +544,7 @@
     }
 }
 
-/// Returns the part that was earned in each window; a window in which nothing was owed counts as
-/// earned.
-fn parts(windows: &[(f64, f64)]) -> Vec<f64> {
-    let part = |(earned, owed): &(f64, f64)| if *owed > 0.0 { earned / owed } else { 1.0 };
-    windows.iter().map(part).collect()
-}
-
-fn address(host: usize) -> Ipv4Addr {
-    Ipv4Addr::from(0x0a01_0001 + host as u32)
-}
-
-fn server(position: usize) -> Server {
-    Server {
-        id: ServerId { id: format!("engine-{position:02}").into(), born: 1 },
-        service: ServiceName::new("engines"),
-        address: ([10, 9, 0, position as u8 + 1], 8_000).into(),
-        zone: ZoneName::new("zone"),
-        slots: 16,
-        draining: false,
-    }
-}
-
-fn gateway(setup: &ReplaySetup, load: &GatewayLoad, host: usize, servers: &[Server]) -> Gateway {
-    let bounds = GatewayBounds {
-        zone: ZoneName::new("zone"),
-        revoke: Duration::from_secs(100_000),
-        budget: BudgetBounds { ratio: 0.2, slack: 104.0, window: Duration::from_secs(10) },
-    };
-    let mut gateway = Gateway::new(bounds, load.seed.wrapping_mul(1_000) + host as u64 + 1);
-    gateway.set_seeds(address(host), Vec::new());
-    let routes = load.kinds.iter().enumerate().map(|(position, kind)| Route {
-        name: Arc::from(kind.name),
-        host: HOST.to_owned(),
-        prefix: format!("/{position}/"),
-        kind: RouteKind::Stream { resumable: true },
-        timeout: kind.patience,
-        objective: kind.objective,
-        gap: Some(kind.gap),
-        priority: 1,
-        backends: vec![Backend { service: ServiceName::new("engines"), weight: 1 }],
-        attempts: 2,
-        public: true,
-    });
-    let parts = CatalogParts {
-        version: 1,
-        routes: routes.collect(),
-        services: vec![ServiceSpec {
-            name: ServiceName::new("engines"),
-            engine: Some(setup.profile),
-        }],
-        limits: CallerLimits {
-            head_bytes: 16_384,
-            body_bytes: 4_194_304,
-            head_timeout: Duration::from_secs(3),
-            idle_timeout: Duration::from_secs(15),
-        },
-        keys: HashMap::new(),
-    };
-    gateway.install_catalog(Catalog::new(parts), Moment(0));
-    for server in servers {
-        gateway.apply_server(ServerChange::Listed(server.clone()));
-    }
-    gateway
+/// Returns when a caller's request must be over.
+fn ask_deadline(caller: &Caller, now: Moment) -> Moment {
+    caller.ask.as_ref().map_or(now, |ask| ask.deadline)
 }
