--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -11,6 +11,7 @@
 mod stand_ins;
 mod status;
 mod timeline;
+mod trace;
 mod why;
 
 use argh::FromArgs;
@@ -31,6 +32,7 @@
     StandIns(stand_ins::StandIns),
     Status(status::Status),
     Timeline(timeline::Timeline),
+    Trace(trace::Trace),
     Why(why::Why),
 }
 
@@ -48,6 +50,7 @@
             Command::StandIns(command) => command.run(),
             Command::Status(command) => command.run(),
             Command::Timeline(command) => command.run(),
+            Command::Trace(command) => command.run(),
             Command::Why(command) => command.run(),
         }
     }
--- /dev/null
+++ b/lib/src/protocol/gateway/log_trace.rs
@@ -0,0 +1,104 @@
+//! Follows one request through the saved logs of several hosts.
+
+use std::collections::BTreeSet;
+
+use serde_json::Map;
+use serde_json::Value;
+
+/// Fields that every line has and the reader of one request does not need again.
+const COMMON_FIELDS: [&str; 4] = ["msg", "level", "ts", "request"];
+/// Messages about the process and its dependencies, which tell what a request met.
+const DEPENDENCY_MESSAGES: [&str; 12] = [
+    "start",
+    "stop begins",
+    "stop ends",
+    "store lost",
+    "store is back",
+    "readiness changed",
+    "configuration accepted",
+    "configuration rejected",
+    "servers listed",
+    "missing servers dropped",
+    "settings reloaded",
+    "log lines were left out",
+];
+
+/// One line of a trace.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TraceLine {
+    /// When it was written, as the log has it.
+    pub time: String,
+    /// The log that it is from.
+    pub host: String,
+    /// What it says.
+    pub text: String,
+}
+
+struct LogLine<'a> {
+    host: &'a str,
+    fields: Map<String, Value>,
+}
+
+impl LogLine<'_> {
+    fn text(&self, name: &str) -> &str {
+        self.fields.get(name).and_then(Value::as_str).unwrap_or_default()
+    }
+
+    fn trace(&self) -> TraceLine {
+        let mut names: Vec<&String> = self.fields.keys().collect();
+        names.retain(|name| !COMMON_FIELDS.contains(&name.as_str()));
+        names.sort();
+        let mut text = self.text("msg").to_owned();
+        for name in names {
+            let value = &self.fields[name];
+            let shown = value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+            text.push_str(&format!(" {name}={shown}"));
+        }
+        TraceLine { time: self.text("ts").to_owned(), host: self.host.to_owned(), text }
+    }
+}
+
+/// Returns the lines of `request` in the order of time, with the lines about the servers that it met
+/// and, between its first and last line, about the hosts' dependencies. `logs` are pairs of a host's
+/// name and its log; what is no JSON line is passed over.
+///
+/// ```
+/// use wasabicrank_lib::protocol::trace_request;
+/// let log = r#"{"ts":"2","msg":"request ended","request":"r1","outcome":"cut"}"#;
+/// let lines = trace_request(&[("host-1", log)], "r1");
+/// assert_eq!(lines[0].text, "request ended outcome=cut");
+/// ```
+pub fn trace_request(logs: &[(&str, &str)], request: &str) -> Vec<TraceLine> {
+    let lines: Vec<LogLine<'_>> = logs
+        .iter()
+        .flat_map(|(host, text)| text.lines().filter_map(|line| read_line(host, line)))
+        .collect();
+    let own: Vec<&LogLine<'_>> =
+        lines.iter().filter(|line| line.text("request") == request).collect();
+    let (Some(first), Some(last)) = (
+        own.iter().map(|line| line.text("ts")).min(),
+        own.iter().map(|line| line.text("ts")).max(),
+    ) else {
+        return Vec::new();
+    };
+    let servers: BTreeSet<&str> =
+        own.iter().map(|line| line.text("server")).filter(|id| !id.is_empty()).collect();
+    let concerns = |line: &&LogLine<'_>| {
+        let message = line.text("msg");
+        let is_within = (first..=last).contains(&line.text("ts"));
+        let names_server = || servers.iter().any(|id| line.text("change").contains(id));
+        line.text("request") == request
+            || (is_within && DEPENDENCY_MESSAGES.contains(&message))
+            || (message == "server changed" && names_server())
+    };
+    let mut trace: Vec<TraceLine> = lines.iter().filter(concerns).map(LogLine::trace).collect();
+    trace.sort();
+    trace
+}
+
+/// Reads a line; a collector may have put a time or a name before the object.
+fn read_line<'a>(host: &'a str, line: &str) -> Option<LogLine<'a>> {
+    let start = line.find('{')?;
+    let fields: Map<String, Value> = serde_json::from_str(&line[start..]).ok()?;
+    fields.contains_key("msg").then_some(LogLine { host, fields })
+}
--- a/lib/src/protocol/gateway/mod.rs
+++ b/lib/src/protocol/gateway/mod.rs
@@ -2,8 +2,10 @@
 
 pub(crate) mod event_splitter;
 pub(crate) mod load_wire;
+pub(crate) mod log_trace;
 pub(crate) mod settings;
 
 pub use event_splitter::*;
 pub use load_wire::*;
+pub use log_trace::*;
 pub use settings::*;
--- /dev/null
+++ b/lib/tests/test_gateway_logs.rs
@@ -0,0 +1,57 @@
+//! From a request's id to the lines that explain it.
+
+use test_case::test_case;
+use wasabicrank_lib::protocol::GatewaySettings;
+use wasabicrank_lib::protocol::GatewaySettingsError;
+use wasabicrank_lib::protocol::trace_request;
+
+const FIRST: &str = r#"  1.5 host-1 {"ts":"10","msg":"request sent","request":"r1","server":"i-7","waited_ms":3}
+{"ts":"11","msg":"request sent","request":"r2","server":"i-8"}
+{"ts":"12","msg":"store lost","error":"silent"}
+not a line of ours
+{"ts":"13","msg":"request ended","request":"r1","outcome":"cut"}
+{"ts":"14","msg":"store is back"}"#;
+
+const SECOND: &str = r#"{"ts":"09","msg":"server changed","change":"Removed(\"i-7\")"}
+{"ts":"12","msg":"server changed","change":"Removed(\"i-9\")"}"#;
+
+#[test]
+fn a_trace_has_the_request_its_servers_and_what_happened_meanwhile() {
+    let lines = trace_request(&[("host-1", FIRST), ("host-2", SECOND)], "r1");
+    let told: Vec<(&str, &str)> =
+        lines.iter().map(|line| (line.host.as_str(), line.text.as_str())).collect();
+    assert_eq!(
+        told,
+        [
+            ("host-2", "server changed change=Removed(\"i-7\")"),
+            ("host-1", "request sent server=i-7 waited_ms=3"),
+            ("host-1", "store lost error=silent"),
+            ("host-1", "request ended outcome=cut"),
+        ]
+    );
+    assert!(trace_request(&[("host-1", FIRST)], "r3").is_empty());
+}
+
+const SETTINGS: &str = r#"{"host":"h","zone":"z","callers":"10.0.0.1:80","health":"10.0.0.1:81",
+    "peer_port":7000,"seeds":["10.0.0.2:82"],"metrics_port":9464,"store":"10.0.0.9:80",
+    "memory_mb":390,"descriptors":6150,"grace_s":8,"revoke_ms":5000,"repeat_ratio":0.2,
+    "repeat_slack":104,"repeat_window_s":10}"#;
+
+struct Setting {
+    find: &'static str,
+    put: &'static str,
+    says: &'static str,
+}
+
+#[test_case(Setting { find: "\"host\":\"h\"", put: "\"host\":\"\"", says: "host is empty" } ; "no name")]
+#[test_case(Setting { find: "\"peer_port\":7000", put: "\"peer_port\":0", says: "peer_port is 0" } ; "no port")]
+#[test_case(Setting { find: "\"grace_s\":8", put: "\"grace_s\":-1", says: "grace_s" } ; "a negative time")]
+#[test_case(Setting { find: "\"repeat_ratio\":0.2", put: "\"repeat_ratio\":-0.2", says: "repeat_ratio" } ; "a negative ratio")]
+#[test_case(Setting { find: "10.0.0.9:80", put: "store.example:80", says: "socket address syntax" } ; "a name for an address")]
+#[test_case(Setting { find: "\"host\"", put: "\"hots\":1,\"host\"", says: "hots" } ; "an unknown field")]
+fn settings_name_their_mistake(case: Setting) {
+    assert!(GatewaySettings::parse(SETTINGS).is_ok());
+    let error = GatewaySettings::parse(&SETTINGS.replace(case.find, case.put)).unwrap_err();
+    assert!(error.to_string().contains(case.says), "{error}");
+    assert!(!matches!(error, GatewaySettingsError::Unreadable(_)));
+}
