gateway: split the exchange's log and heads, forget hosts and servers that are gone

Peers that were gone took the places of new ones once a thousand had been heard (test fails first), and the health of removed servers was kept until the next whole list.

--- a/lib/src/coordination/gateway/beliefs.rs
+++ b/lib/src/coordination/gateway/beliefs.rs
@@ -63,12 +63,20 @@
 
     /// Takes a change of the list of servers; returns whether something differs now.
     pub fn apply_server(&mut self, change: ServerChange) -> bool {
-        self.servers.apply(change)
+        let is_changed = self.servers.apply(change);
+        if is_changed {
+            self.forget_gone_servers();
+        }
+        is_changed
     }
 
     /// Takes a whole list of servers.
     pub fn replace_servers(&mut self, listed: Vec<Server>, had_outage: bool, now: Moment) {
         self.servers.replace(listed, had_outage, now);
+        self.forget_gone_servers();
+    }
+
+    fn forget_gone_servers(&mut self) {
         let servers = &self.servers;
         self.health.retain(|id, _| servers.contains(id));
     }
--- a/lib/src/coordination/gateway/peers.rs
+++ b/lib/src/coordination/gateway/peers.rs
@@ -14,6 +14,8 @@
 const PEER_MEMORY: Duration = Duration::from_secs(60);
 /// The messages of this host whose time of sending is remembered.
 const SENT_MEMORY: usize = 256;
+/// How many messages there are for one that names all hosts that were heard.
+const ALL_KNOWN_EACH: u64 = 16;
 /// The most peers that are remembered.
 const MAX_PEERS: usize = 1_000;
 
@@ -53,6 +55,18 @@
     pub loads: Vec<(u64, ServerLoad)>,
 }
 
+impl PeerSummary {
+    /// Returns the summary for the peer at `address`: it needs no more than the echo of its own
+    /// messages, but now and then hears of all other hosts.
+    pub fn for_peer(&self, address: Ipv4Addr) -> PeerSummary {
+        let mut summary = self.clone();
+        if !self.sequence.is_multiple_of(ALL_KNOWN_EACH) {
+            summary.known.retain(|heard| heard.address == address);
+        }
+        summary
+    }
+}
+
 /// A summary with the address that it came from.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PeerHeard {
@@ -148,6 +162,10 @@
             return false;
         }
         let is_new = before.is_none_or(|peer| now.since(peer.heard) > PEER_LIFE);
+        if is_new {
+            self.peers.retain(|_, peer| now.since(peer.heard) <= PEER_MEMORY);
+            self.told.retain(|_, at| now.since(*at) <= PEER_MEMORY);
+        }
         for heard in &summary.known {
             if Some(heard.address) != self.own && self.told.len() < MAX_PEERS {
                 self.told.insert(heard.address, now);
--- a/lib/src/transport/gateway/exchange.rs
+++ b/lib/src/transport/gateway/exchange.rs
@@ -5,35 +5,32 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use http::HeaderMap;
-use http::HeaderName;
-use http::HeaderValue;
 use http::Request;
 use http::Response;
-use http::StatusCode;
-use http::header;
 use http::request;
 use http::response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use slog::info;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use super::answer_body::AnswerBody;
 use super::answer_body::PIECE_RING;
+use super::answer_head::close_if_stopping;
+use super::answer_head::refusal_response;
+use super::answer_head::strip_connection_fields;
 use super::context::GatewayContext;
 use super::dialect::SendHead;
 use super::event_relay::EventRelay;
+use super::exchange_log::refuse_early;
 use super::memory_tickets::HeldTicket;
 use super::memory_tickets::reserve_memory;
 use super::request_body::BodyFault;
 use super::request_body::HeldBody;
 use super::request_body::read_body;
 use super::telemetry::LineKind;
-use super::telemetry::RequestLabel;
 use super::upstream::SendError;
 use super::upstream::Upstream;
 use crate::coordination::Dispatch;
@@ -44,7 +41,6 @@
 use crate::coordination::RefusalReason;
 use crate::coordination::SendResult;
 use crate::state::Moment;
-use crate::state::RouteKind;
 
 /// The longest time that a request's body may take.
 const BODY_TIME: Duration = Duration::from_secs(10);
@@ -54,16 +50,6 @@
 const MAX_HELD_ANSWER: usize = 4 * 1024 * 1024;
 /// The expected time to the first event from which peers are told of a send at once.
 const LONG_READING: Duration = Duration::from_millis(150);
-/// Header fields that concern one connection only.
-const CONNECTION_FIELDS: [HeaderName; 7] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
 
 /// The caller's connection broke off before its request was whole.
 #[derive(Debug)]
@@ -116,74 +102,10 @@
         first_sent: None,
         longest_pause: Duration::ZERO,
     };
-    Ok(exchange.run().await.unwrap_or_else(|stream| stream.start(exchange)))
-}
-
-/// Answers a request that was refused before it was judged by its route.
-fn refuse_early(
-    ctx: &GatewayContext,
-    id: &str,
-    head: &request::Parts,
-    refusal: GatewayRefusal,
-) -> Response<AnswerBody> {
-    let now = ctx.now();
-    if let Some(log) = ctx.telemetry.line(now, LineKind::Failure) {
-        let gateway = ctx.gateway.borrow();
-        let version = gateway.catalog().map_or(0, |catalog| catalog.version());
-        let age = gateway.catalog_age(now).map_or(-1, |age| age.as_millis() as i64);
-        info!(log, "request refused"; "request" => id, "reason" => refusal.reason.name(),
-            "status" => refusal.reason.status(), "path" => head.uri.path(),
-            "catalog_version" => version, "catalog_age_ms" => age);
-    }
-    let label = RequestLabel { kind: "unjudged", outcome: refusal.reason.name() };
-    ctx.telemetry.count_request(label);
-    refusal_response(ctx, &refusal)
-}
-
-/// Makes the answer that tells a refusal.
-pub(crate) fn refusal_response(
-    ctx: &GatewayContext,
-    refusal: &GatewayRefusal,
-) -> Response<AnswerBody> {
-    let text = format!("{{\"reason\":\"{}\"}}", refusal.reason.name());
-    let mut response = Response::new(AnswerBody::whole(text));
-    *response.status_mut() =
-        StatusCode::from_u16(refusal.reason.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let fields = response.headers_mut();
-    fields.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    if let Some(after) = refusal.come_back {
-        let seconds = format!("{:.3}", after.as_secs_f64());
-        if let Ok(value) = HeaderValue::from_str(&seconds) {
-            fields.insert(header::RETRY_AFTER, value);
-        }
-    }
-    close_if_stopping(ctx, fields);
-    response
-}
-
-/// Asks the caller to open its next connection elsewhere while the process stops.
-pub(crate) fn close_if_stopping(ctx: &GatewayContext, fields: &mut HeaderMap) {
-    if ctx.is_stopping() {
-        fields.insert(header::CONNECTION, HeaderValue::from_static("close"));
-    }
-}
-
-/// Removes the fields that concern one connection only, and the body's length, which the body
-/// itself tells.
-fn strip_connection_fields(fields: &mut HeaderMap) {
-    let named: Vec<HeaderName> = fields
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|text| text.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&CONNECTION_FIELDS) {
-        fields.remove(name);
-    }
-    fields.remove("keep-alive");
-    fields.remove("proxy-connection");
-    fields.remove(header::CONTENT_LENGTH);
+    Ok(match exchange.run().await {
+        Outcome::Answer(response) => response,
+        Outcome::Stream(start) => start.start(exchange),
+    })
 }
 
 /// A request that is being served. When it is dropped, because the caller left or all is done, it
@@ -194,8 +116,8 @@
     body: HeldBody,
     pub(crate) ask: GatewayRequest,
     pub(crate) arrived: Moment,
-    is_over: bool,
-    first_sent: Option<Moment>,
+    pub(crate) is_over: bool,
+    pub(crate) first_sent: Option<Moment>,
     /// The longest pause between two events of its stream.
     pub(crate) longest_pause: Duration,
 }
@@ -226,6 +148,14 @@
     }
 }
 
+/// How the way to an answer ended.
+enum Outcome {
+    /// The caller gets this answer.
+    Answer(Response<AnswerBody>),
+    /// The caller gets a stream, which a task that owns the exchange passes on.
+    Stream(Box<StreamStart>),
+}
+
 /// What one send brought.
 pub(crate) enum Sent {
     /// The whole answer of a request without a stream.
@@ -256,39 +186,33 @@
 }
 
 impl Exchange {
-    /// Places and sends the request until there is an answer; a stream is returned as the error, to
-    /// be passed on by a task that owns this exchange.
-    async fn run(&mut self) -> Result<Response<AnswerBody>, Box<StreamStart>> {
+    /// Places and sends the request until there is an answer.
+    async fn run(&mut self) -> Outcome {
         loop {
             let dispatch = match self.place().await {
                 Ok(dispatch) => dispatch,
-                Err(refusal) => return Ok(self.refuse(refusal)),
+                Err(refusal) => return Outcome::Answer(self.refuse(refusal)),
             };
             let (result, failure, dispatch) = match self.send(dispatch).await {
                 (Sent::Answer(response), _) => {
                     self.tell_end("answered", LineKind::Success, response.status().as_u16(), None);
-                    return Ok(response);
+                    return Outcome::Answer(response);
                 }
-                (Sent::Stream(stream), _) => return Err(stream),
+                (Sent::Stream(stream), _) => return Outcome::Stream(stream),
                 (Sent::Result(result, failure), dispatch) => (result, failure, dispatch),
             };
-            match self.after_send(&dispatch, &result) {
-                NextStep::PlaceAgain => {}
-                NextStep::RelayFailure => {
-                    let response = failure.unwrap_or_else(|| {
-                        let lost = GatewayRefusal::new(RefusalReason::AnswerLost);
-                        refusal_response(&self.ctx, &lost)
-                    });
-                    let status = response.status().as_u16();
+            let lost = GatewayRefusal::new(RefusalReason::AnswerLost);
+            let refusal = match (self.after_send(&dispatch, &result), failure) {
+                (NextStep::PlaceAgain, _) => continue,
+                (NextStep::RelayFailure, Some(failure)) => {
+                    let status = failure.status().as_u16();
                     self.tell_end("server_failure", LineKind::Failure, status, None);
-                    return Ok(response);
+                    return Outcome::Answer(failure);
                 }
-                NextStep::Refuse(refusal) => return Ok(self.refuse(refusal)),
-                NextStep::CutAnswer => {
-                    let lost = GatewayRefusal::new(RefusalReason::AnswerLost);
-                    return Ok(self.refuse(lost));
-                }
-            }
+                (NextStep::Refuse(refusal), _) => refusal,
+                (NextStep::RelayFailure, None) | (NextStep::CutAnswer, _) => lost,
+            };
+            return Outcome::Answer(self.refuse(refusal));
         }
     }
 
@@ -320,14 +244,7 @@
     pub(crate) fn after_send(&mut self, dispatch: &Dispatch, result: &SendResult) -> NextStep {
         let now = self.ctx.now();
         let step = self.ctx.gateway.borrow_mut().after_send(now, &mut self.ask, dispatch, result);
-        let name = result_name(result);
-        self.ctx.telemetry.count_send(name);
-        if let Some(log) = self.ctx.telemetry.line(now, LineKind::Failure) {
-            info!(log, "send failed"; "request" => &self.ask.id, "result" => name,
-                "server" => &*dispatch.server.id.id, "sends" => self.ask.sends,
-                "helpers" => dispatch.helpers.len(), "next" => ?step,
-                "age_ms" => now.since(self.arrived).as_millis() as u64);
-        }
+        self.tell_result(now, dispatch, result, step);
         step
     }
 
@@ -475,70 +392,6 @@
         self.tell_end(name, LineKind::Failure, refusal.reason.status(), refusal.come_back);
         refusal_response(&self.ctx, &refusal)
     }
-
-    fn tell_send(&mut self, now: Moment, dispatch: &Dispatch) {
-        let waited = now.since(self.arrived);
-        if self.first_sent.is_none() {
-            self.first_sent = Some(now);
-            self.ctx.telemetry.observe_waited(waited);
-        }
-        let Some(log) = self.ctx.telemetry.line(now, LineKind::Success) else { return };
-        let gateway = self.ctx.gateway.borrow();
-        let load = gateway.load(&dispatch.server.id, now);
-        info!(log, "request sent"; "request" => &self.ask.id,
-            "server" => &*dispatch.server.id.id, "waited_ms" => waited.as_millis() as u64,
-            "prompt" => self.ask.size.map_or(0, |size| size.prompt),
-            "helpers" => dispatch.helpers.len(),
-            "expected_ms" => dispatch.expected.as_millis() as u64,
-            "backlog_ms" => load.backlog.as_millis() as u64,
-            "running" => load.total(), "at_stake" => format!("{:.1?}", load.at_stake),
-            "catalog_version" => gateway.catalog().map_or(0, |catalog| catalog.version()));
-    }
-
-    fn tell_send_error(&self, dispatch: &Dispatch, error: &SendError) {
-        let now = self.ctx.now();
-        if let Some(log) = self.ctx.telemetry.line(now, LineKind::Failure) {
-            info!(log, "server connection failed"; "request" => &self.ask.id,
-                "server" => &*dispatch.server.id.id, "error" => %error);
-        }
-    }
-
-    fn tell_first_event(&self, now: Moment, dispatch: &Dispatch) {
-        let time = now.since(self.arrived);
-        self.ctx.telemetry.observe_first_event(self.ask.size.map(|size| size.prompt), time);
-        if let Some(log) = self.ctx.telemetry.line(now, LineKind::Success) {
-            info!(log, "first event"; "request" => &self.ask.id,
-                "server" => &*dispatch.server.id.id, "age_ms" => time.as_millis() as u64,
-                "expected_ms" => dispatch.expected.as_millis() as u64);
-        }
-    }
-
-    /// Logs and counts the end of the request.
-    pub(crate) fn tell_end(
-        &mut self,
-        outcome: &'static str,
-        kind: LineKind,
-        status: u16,
-        back: Option<Duration>,
-    ) {
-        self.is_over = true;
-        let now = self.ctx.now();
-        self.ctx
-            .telemetry
-            .count_request(RequestLabel { kind: kind_name(self.ask.route.kind), outcome });
-        if let Some(log) = self.ctx.telemetry.line(now, kind) {
-            info!(log, "request ended"; "request" => &self.ask.id, "outcome" => outcome,
-                "status" => status, "route" => &*self.ask.route.name,
-                "customer" => self.ask.customer.as_ref().map_or("", |name| name.as_str()),
-                "service" => self.ask.service.as_str(), "sends" => self.ask.sends,
-                "unreached" => self.ask.unreached,
-                "prompt" => self.ask.size.map_or(0, |size| size.prompt),
-                "last_event" => self.ask.last_event.unwrap_or(0),
-                "pause_ms" => self.longest_pause.as_millis() as u64,
-                "back_ms" => back.map_or(-1, |back| back.as_millis() as i64),
-                "age_ms" => now.since(self.arrived).as_millis() as u64);
-        }
-    }
 }
 
 async fn collect_answer(mut body: Incoming) -> Option<Bytes> {
@@ -552,23 +405,3 @@
     }
     Some(bytes.freeze())
 }
-
-fn kind_name(kind: RouteKind) -> &'static str {
-    match kind {
-        RouteKind::Idempotent => "idempotent",
-        RouteKind::NonIdempotent => "non_idempotent",
-        RouteKind::Stream { .. } => "stream",
-    }
-}
-
-fn result_name(result: &SendResult) -> &'static str {
-    match result {
-        SendResult::Unreached => "unreached",
-        SendResult::NoMemory => "no_memory",
-        SendResult::Declined { .. } => "declined",
-        SendResult::Failed => "failed",
-        SendResult::Lost => "lost",
-        SendResult::Cut => "cut",
-        SendResult::TimedOut => "timed_out",
-    }
-}
--- a/lib/src/transport/gateway/mod.rs
+++ b/lib/src/transport/gateway/mod.rs
@@ -5,11 +5,13 @@
 //! costs more than it gives. Only the log's writer has a thread of its own.
 
 pub(crate) mod answer_body;
+pub(crate) mod answer_head;
 pub(crate) mod clock;
 pub(crate) mod context;
 pub(crate) mod dialect;
 pub(crate) mod event_relay;
 pub(crate) mod exchange;
+pub(crate) mod exchange_log;
 pub(crate) mod fleet_source;
 pub(crate) mod listener;
 pub(crate) mod memory_tickets;
--- a/lib/src/transport/gateway/peer_socket.rs
+++ b/lib/src/transport/gateway/peer_socket.rs
@@ -38,15 +38,15 @@
         let now = ctx.now();
         let addresses = ctx.gateway.borrow().peer_addresses(now);
         let summary = ctx.gateway.borrow_mut().peer_summary(now);
-        match encode_summary(&summary) {
-            Ok(datagram) => {
-                for address in &addresses {
+        for address in &addresses {
+            match encode_summary(&summary.for_peer(*address)) {
+                Ok(datagram) => {
                     // A peer that is down or cut off is no fault here; the next summary is sent soon.
                     let _ = socket.try_send_to(&datagram, (*address, port).into());
                 }
-            }
-            Err(error) => {
-                warn!(ctx.telemetry.log(), "a summary cannot be encoded"; "error" => %error);
+                Err(error) => {
+                    warn!(ctx.telemetry.log(), "a summary cannot be encoded"; "error" => %error);
+                }
             }
         }
         let sent = Instant::now();
--- a/lib/tests/gateways/mod.rs
+++ b/lib/tests/gateways/mod.rs
@@ -8,6 +8,7 @@
 
 use wasabicrank_lib::coordination::*;
 use wasabicrank_lib::state::*;
+use wasabicrank_workload::gateway::ReplaySetup;
 
 pub const HOST: &str = "calls.example";
 pub const KEY: &str = "key-a";
@@ -22,16 +23,7 @@
 }
 
 pub fn profile() -> EngineProfile {
-    EngineProfile {
-        slots: 16,
-        memory: 450_000,
-        step_ms: 0.925,
-        read_rate: 256_000.0,
-        pairs_ms: 0.0917,
-        pass_steps: 46,
-        usual_answer: 1_540,
-        joint: true,
-    }
+    ReplaySetup::today().profile
 }
 
 pub fn route(prefix: &str, kind: RouteKind, service: &str, attempts: u32) -> Route {
--- a/lib/tests/test_gateway_beliefs.rs
+++ b/lib/tests/test_gateway_beliefs.rs
@@ -2,6 +2,8 @@
 
 mod gateways;
 
+use std::net::Ipv4Addr;
+
 use gateways::*;
 use test_case::test_case;
 use wasabicrank_lib::coordination::*;
@@ -180,6 +182,38 @@
     assert!(host.catalog_read_in(at(2)).is_zero());
 }
 
+#[test]
+fn a_peer_hears_its_own_echo_each_time_and_of_all_hosts_now_and_then() {
+    let mut host = gateway(1);
+    for peer in 2..=6 {
+        tell(&mut gateway(peer), peer as u8, &mut host, at(1));
+    }
+    let summaries: Vec<PeerSummary> =
+        (0..40).map(|_| host.peer_summary(at(2)).for_peer(address(3))).collect();
+    let echoes = |summary: &PeerSummary| summary.known.iter().any(|one| one.address == address(3));
+    assert!(summaries.iter().all(echoes));
+    assert!(summaries.iter().any(|summary| summary.known.len() == 5));
+    assert!(summaries.iter().filter(|summary| summary.known.len() == 1).count() > 30);
+}
+
+#[test]
+fn hosts_that_are_long_gone_make_room_for_new_ones() {
+    const MOST: u64 = 1_000;
+    let mut host = gateway(1);
+    let hear = |host: &mut Gateway, number: u64, now: Moment| {
+        let from = Ipv4Addr::from(0x0a02_0000 + number as u32);
+        let summary = gateway(number + 2).peer_summary(now);
+        host.hear_peer(now, PeerHeard { from, summary });
+        from
+    };
+    for number in 0..MOST {
+        hear(&mut host, number, at(0));
+    }
+    let later = at(100_000);
+    let newcomer = hear(&mut host, MOST, later);
+    assert_eq!(host.peer_addresses(later), [newcomer]);
+}
+
 #[test]
 fn summaries_come_back_as_they_were_but_no_younger() {
     let mut peer = gateway(3);
--- a/lib/tests/test_gateway_choice.rs
+++ b/lib/tests/test_gateway_choice.rs
@@ -4,22 +4,14 @@
 
 use test_case::test_case;
 use wasabicrank_lib::state::*;
+use wasabicrank_workload::gateway::ReplaySetup;
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
 fn profile() -> EngineProfile {
-    EngineProfile {
-        slots: 16,
-        memory: 450_000,
-        step_ms: 0.925,
-        read_rate: 256_000.0,
-        pairs_ms: 0.0917,
-        pass_steps: 46,
-        usual_answer: 1_540,
-        joint: true,
-    }
+    ReplaySetup::today().profile
 }
 
 fn ask(prompt: u64) -> EngineAsk {
