--- a/lib/src/coordination/gateway/place.rs
+++ b/lib/src/coordination/gateway/place.rs
@@ -303,7 +303,7 @@
             PauseClass::Tight => SHORT_SLACK,
             PauseClass::Loose | PauseClass::Wide => LONG_SLACK,
         };
-        let limit = match self.can_repeat(now, ask) {
+        let limit = match self.can_repeat(now, ask, ask.sends + 1) {
             true => now + expected * 2 + slack,
             false => ask.deadline,
         };
@@ -339,20 +339,30 @@
         let answer = Answer { pauses: ask.pauses(), worth: prompt_worth(0) };
         let share = Share { reading: Duration::ZERO, tokens: 0, writes: Some(answer) };
         self.board.start(&server.id, send, share, now);
-        let limit = match self.can_repeat(now, ask) {
+        let limit = match self.can_repeat(now, ask, ask.sends + 1) {
             true => now + REPEAT_AFTER,
             false => ask.deadline,
         };
         self.dispatch(now, ask, send, server, Vec::new(), Duration::ZERO, limit, None)
     }
 
-    /// Returns whether the request could be sent to another server after this send; one that could
-    /// not be waits for its answer as long as its caller does.
-    fn can_repeat(&mut self, now: Moment, ask: &GatewayRequest) -> bool {
-        let has_attempt = ask.is_repeatable() && ask.sends + 1 < ask.route.attempts;
+    /// Returns whether the request could be sent to another server after `sends` sends; one that
+    /// could not be waits for its answer as long as its caller does.
+    fn can_repeat(&mut self, now: Moment, ask: &GatewayRequest, sends: u32) -> bool {
+        let has_attempt = ask.is_repeatable() && sends < ask.route.attempts;
         has_attempt && self.budget(&ask.service).left(now) >= 1.0
     }
 
+    /// Returns whether a stream whose server fell silent may be taken up by another server. Where it
+    /// may not, the silent server keeps it: its silence alone is no reason to end an answer.
+    pub fn may_leave_silent_server(&mut self, now: Moment, ask: &GatewayRequest) -> bool {
+        let servers = self.servers.of_service(&ask.service);
+        let has_other = servers
+            .iter()
+            .any(|server| !ask.tried.contains(&server.id) && !self.is_avoided(server, now));
+        has_other && self.can_repeat(now, ask, ask.sends)
+    }
+
     #[allow(clippy::too_many_arguments)]
     fn dispatch(
         &mut self,
--- a/lib/src/transport/gateway/event_relay.rs
+++ b/lib/src/transport/gateway/event_relay.rs
@@ -163,7 +163,14 @@
             Ok(Err(StreamEnd::Complete)) => return PartEnd::Complete,
             Ok(Err(StreamEnd::Broken)) => return PartEnd::Broken,
             Err(_) if left <= silence => return PartEnd::OutOfTime,
-            Err(_) => return PartEnd::Broken,
+            Err(_) => {
+                let now = exchange.ctx.now();
+                let mut gateway = exchange.ctx.gateway.borrow_mut();
+                if gateway.may_leave_silent_server(now, &exchange.ask) {
+                    return PartEnd::Broken;
+                }
+                continue;
+            }
         };
         let now = exchange.ctx.now();
         exchange.longest_pause = exchange.longest_pause.max(now.since(last));
