--- a/lib/src/coordination/gateway/place.rs
+++ b/lib/src/coordination/gateway/place.rs
@@ -189,10 +189,7 @@
             .iter()
             .map(|server| {
                 let load = self.board.load(&server.id, now);
-                GroupCandidate {
-                    load,
-                    doubtful: load.doubtful || self.is_doubtful(&server.id, now),
-                }
+                GroupCandidate { load, doubtful: self.is_doubtful(&server.id, now) }
             })
             .collect();
         let behind: Duration = candidates.iter().map(|candidate| candidate.load.backlog).sum();
@@ -322,7 +319,7 @@
         for server in servers {
             let load = self.board.load(&server.id, now);
             let mut score = f64::from(load.total()) / f64::from(server.slots.max(1));
-            if load.doubtful || self.is_doubtful(&server.id, now) {
+            if self.is_doubtful(&server.id, now) {
                 score += 2.0;
             }
             if server.zone != zone {
--- a/lib/src/protocol/gateway/load_wire.rs
+++ b/lib/src/protocol/gateway/load_wire.rs
@@ -49,7 +49,6 @@
     running: [u32; PauseClass::ALL.len()],
     at_stake: [f32; PauseClass::ALL.len()],
     tokens: u64,
-    is_doubtful: bool,
 }
 
 /// Why a datagram is dropped.
@@ -103,7 +102,6 @@
             running: load.running,
             at_stake: load.at_stake.map(|worth| worth as f32),
             tokens: load.tokens,
-            is_doubtful: load.doubtful,
         });
         let known = summary.known.iter().map(|heard| WireHeard {
             address: heard.address.octets(),
@@ -134,7 +132,6 @@
                 running: load.running,
                 at_stake: load.at_stake.map(f64::from),
                 tokens: load.tokens,
-                doubtful: load.is_doubtful,
             };
             (load.server, decoded)
         });
--- a/lib/src/state/gateway/board.rs
+++ b/lib/src/state/gateway/board.rs
@@ -85,8 +85,6 @@
     pub at_stake: [f64; PauseClass::ALL.len()],
     /// The tokens of memory that all of them take.
     pub tokens: u64,
-    /// Whether a host has lately lost requests at this server.
-    pub doubtful: bool,
 }
 
 impl ServerLoad {
@@ -120,7 +118,6 @@
             *own += theirs;
         }
         self.tokens += other.tokens;
-        self.doubtful |= other.doubtful;
     }
 }
 
