gateway: let memory go whose answer no longer comes, probe silent servers

Ruled out: orders carried out late. Their holds count from arrival and are over by then; a hold is now 2.0 s in place of 2.5 s, so that none is left at all. Change: a hold is renewed only while the answer may still come (HoldRenewal), and connections to servers have keep-alive probes and a limit on unacknowledged bytes, so that a dark server is known after 2 s.

--- a/lib/src/state/gateway/mod.rs
+++ b/lib/src/state/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod freshness;
 pub(crate) mod group_choice;
 pub(crate) mod health;
+pub(crate) mod hold_renewal;
 pub(crate) mod server;
 
 pub use board::*;
@@ -21,4 +22,5 @@
 pub use freshness::*;
 pub use group_choice::*;
 pub use health::*;
+pub use hold_renewal::*;
 pub use server::*;
--- a/lib/src/transport/gateway/event_relay.rs
+++ b/lib/src/transport/gateway/event_relay.rs
@@ -117,7 +117,7 @@
     let status = head.status.as_u16();
     loop {
         let end = tokio::select! {
-            end = pass_part(&mut exchange, &mut relay, &pieces) => end,
+            end = pass_part(&mut exchange, &send, &mut relay, &pieces) => end,
             () = pieces.closed() => PartEnd::CallerLeft,
         };
         let result = match end {
@@ -150,6 +150,7 @@
 /// Passes on the events of one server.
 async fn pass_part(
     exchange: &mut Exchange,
+    send: &LiveSend,
     relay: &mut EventRelay,
     pieces: &mpsc::Sender<Result<Bytes, AnswerCut>>,
 ) -> PartEnd {
@@ -173,6 +174,7 @@
             }
         };
         let now = exchange.ctx.now();
+        send.hear_answer(now);
         exchange.longest_pause = exchange.longest_pause.max(now.since(last));
         last = now;
         if event.id.is_some() {
--- a/lib/src/transport/gateway/exchange.rs
+++ b/lib/src/transport/gateway/exchange.rs
@@ -25,7 +25,7 @@
 use super::dialect::SendHead;
 use super::event_relay::EventRelay;
 use super::exchange_log::refuse_early;
-use super::memory_tickets::HeldTicket;
+use super::memory_tickets::HeldMemory;
 use super::memory_tickets::reserve_memory;
 use super::request_body::BodyFault;
 use super::request_body::HeldBody;
@@ -137,7 +137,16 @@
     pub(crate) dispatch: Dispatch,
     upstream: Option<Upstream>,
     /// The memory that is set aside for it; given back when this is dropped.
-    tickets: Vec<HeldTicket>,
+    memory: Option<HeldMemory>,
+}
+
+impl LiveSend {
+    /// Notes that a part of the answer came.
+    pub(crate) fn hear_answer(&self, now: Moment) {
+        if let Some(memory) = &self.memory {
+            memory.hear_answer(now);
+        }
+    }
 }
 
 impl Drop for LiveSend {
@@ -251,8 +260,7 @@
     /// Sends the request once and reads the answer up to where it can be judged.
     pub(crate) async fn send(&mut self, dispatch: Dispatch) -> (Sent, Dispatch) {
         let copy = dispatch.clone();
-        let mut live =
-            LiveSend { ctx: self.ctx.clone(), dispatch, upstream: None, tickets: Vec::new() };
+        let mut live = LiveSend { ctx: self.ctx.clone(), dispatch, upstream: None, memory: None };
         let sent = match self.exchange_heads(&mut live).await {
             Ok((head, body)) => self.read_answer(live, head, body).await,
             Err(result) => Sent::Result(result, None),
@@ -265,7 +273,7 @@
         live: &mut LiveSend,
     ) -> Result<(response::Parts, Incoming), SendResult> {
         match reserve_memory(&self.ctx, &live.dispatch).await {
-            Ok(tickets) => live.tickets = tickets,
+            Ok(memory) => live.memory = memory,
             Err(result) => return Err(result),
         }
         let mut upstream = match Upstream::connect(live.dispatch.server.address).await {
@@ -381,6 +389,7 @@
             Err(_) => return Sent::Result(self.silent(limit), None),
         }
         let now = self.ctx.now();
+        live.hear_answer(now);
         self.ctx.gateway.borrow_mut().first_event(now, &live.dispatch);
         self.ctx.load_changes();
         self.tell_first_event(now, &live.dispatch);
--- a/lib/src/transport/gateway/memory_tickets.rs
+++ b/lib/src/transport/gateway/memory_tickets.rs
@@ -1,8 +1,10 @@
 //! Sets engines' memory aside for a prompt that one engine cannot hold, and gives it back.
 //!
-//! Memory is held for a short time and renewed while the request lasts. When this process dies, or
-//! an order is carried out seconds late, the memory is free again soon, whoever notices.
+//! Memory is held for a short time and renewed while the answer comes, or may still come. When this
+//! process or the server that writes the answer dies, or an order is carried out seconds late, the
+//! memory is free again soon, whoever notices.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,20 +22,40 @@
 use crate::coordination::Dispatch;
 use crate::coordination::MemoryTicket;
 use crate::coordination::SendResult;
+use crate::state::HoldRenewal;
+use crate::state::Moment;
 use crate::state::Server;
 
-/// How long memory is held without a renewal: well under the time after which memory that nobody
-/// uses counts as lost.
-const HOLD: Duration = Duration::from_millis(2_500);
-/// How often a hold is renewed, so that one renewal may be lost.
-const RENEWAL: Duration = Duration::from_millis(900);
+/// How long memory is held without a renewal. Servers carry out an order that they did not answer two
+/// seconds later at the earliest, when a hold that short is over.
+const HOLD: Duration = Duration::from_millis(2_000);
+/// How often a hold is renewed.
+const RENEWAL: Duration = Duration::from_millis(700);
+/// When a renewal is sent again that was not answered.
+const RENEWAL_RETRY: Duration = Duration::from_millis(50);
 /// How long an engine may take to answer an order.
 const ORDER_TIME: Duration = Duration::from_millis(250);
 /// How often giving memory back is tried; after that the hold runs out by itself.
 const RELEASE_TRIES: u32 = 3;
 
-/// Memory that is set aside. Dropping it gives the memory back.
-pub(crate) struct HeldTicket {
+/// All the memory that is set aside for one send. Dropping it gives the memory back.
+pub(crate) struct HeldMemory {
+    /// Dropped with it, by which each is given back.
+    _tickets: Vec<HeldTicket>,
+    renewal: Rc<Cell<HoldRenewal>>,
+}
+
+impl HeldMemory {
+    /// Notes that a part of the answer came.
+    pub(crate) fn hear_answer(&self, now: Moment) {
+        let mut renewal = self.renewal.get();
+        renewal.hear_answer(now);
+        self.renewal.set(renewal);
+    }
+}
+
+/// Memory that is set aside at one server.
+struct HeldTicket {
     ctx: Rc<GatewayContext>,
     server: Server,
     ticket: MemoryTicket,
@@ -48,23 +70,30 @@
     }
 }
 
-/// Sets aside all the memory that `dispatch` needs beside that of its first server.
+/// Sets aside all the memory that `dispatch` needs beside that of its first server; nothing where it
+/// needs none.
 pub(crate) async fn reserve_memory(
     ctx: &Rc<GatewayContext>,
     dispatch: &Dispatch,
-) -> Result<Vec<HeldTicket>, SendResult> {
+) -> Result<Option<HeldMemory>, SendResult> {
+    if dispatch.helpers.iter().all(|helper| helper.ticket.is_none()) {
+        return Ok(None);
+    }
+    let renewal = Rc::new(Cell::new(HoldRenewal::begin(ctx.now(), dispatch.expected)));
     let wanted = dispatch.helpers.iter().filter_map(|helper| {
         let ticket = helper.ticket.as_ref()?;
-        Some(reserve(ctx, &helper.server, ticket))
+        Some(reserve(ctx, &helper.server, ticket, &renewal))
     });
     let held: Option<Vec<HeldTicket>> = join_all(wanted).await.into_iter().collect();
-    held.ok_or(SendResult::NoMemory)
+    let tickets = held.ok_or(SendResult::NoMemory)?;
+    Ok(Some(HeldMemory { _tickets: tickets, renewal }))
 }
 
 async fn reserve(
     ctx: &Rc<GatewayContext>,
     server: &Server,
     ticket: &MemoryTicket,
+    renewal: &Rc<Cell<HoldRenewal>>,
 ) -> Option<HeldTicket> {
     let outcome = order(server, ctx, ctx.dialect.reserve_order(server, ticket, HOLD)).await;
     let now = ctx.now();
@@ -73,7 +102,7 @@
             "tokens" => ticket.tokens, "outcome" => ?outcome);
     }
     if outcome == Some(OrderOutcome::Done) {
-        let renewal = renew(ctx.clone(), server.clone(), ticket.clone());
+        let renewal = renew(ctx.clone(), server.clone(), ticket.clone(), renewal.clone());
         return Some(HeldTicket {
             ctx: ctx.clone(),
             server: server.clone(),
@@ -89,15 +118,30 @@
     None
 }
 
-async fn renew(ctx: Rc<GatewayContext>, server: Server, ticket: MemoryTicket) {
+/// Renews a hold as long as its answer may still come; after that the hold runs out.
+async fn renew(
+    ctx: Rc<GatewayContext>,
+    server: Server,
+    ticket: MemoryTicket,
+    renewal: Rc<Cell<HoldRenewal>>,
+) {
+    let mut pause = RENEWAL;
     loop {
-        sleep(RENEWAL).await;
-        let renewed = ctx.dialect.reserve_order(&server, &ticket, HOLD);
-        let is_renewed = order(&server, &ctx, renewed).await == Some(OrderOutcome::Done);
+        sleep(pause).await;
+        let is_due = renewal.get().is_due(ctx.now());
+        let is_renewed = is_due && {
+            let renewed = ctx.dialect.reserve_order(&server, &ticket, HOLD);
+            order(&server, &ctx, renewed).await == Some(OrderOutcome::Done)
+        };
         let line = if is_renewed { None } else { ctx.telemetry.line(ctx.now(), LineKind::Failure) };
         if let Some(log) = line {
-            info!(log, "memory not renewed"; "server" => &*server.id.id, "ticket" => &ticket.name);
+            info!(log, "memory not renewed"; "server" => &*server.id.id, "ticket" => &ticket.name,
+                "answer_expected" => is_due);
+        }
+        if !is_due {
+            return;
         }
+        pause = if is_renewed { RENEWAL } else { RENEWAL_RETRY };
     }
 }
 
--- a/lib/src/transport/gateway/upstream.rs
+++ b/lib/src/transport/gateway/upstream.rs
@@ -5,6 +5,7 @@
 //! next answer; docs/design/platform.md has what new connections cost.
 
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,6 +16,8 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -23,6 +26,14 @@
 /// than the second after which a lost opening packet is sent again.
 const CONNECT_TIME: Duration = Duration::from_millis(300);
 
+/// When a silent connection is probed first, how often then, and how many probes a server may miss: one
+/// that lost its power or its network is known after two seconds, when its callers still wait.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+const PROBES_MISSED: u32 = 2;
+/// How long sent bytes may stay unacknowledged before the connection counts as lost.
+const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(2);
+
 /// Why no head of an answer came.
 #[derive(Debug)]
 pub(crate) enum SendError {
@@ -53,6 +64,17 @@
     }
 }
 
+/// Makes the system notice a server that neither answers nor resets the connection.
+fn probe_when_silent(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBES_MISSED);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))
+}
+
 impl Upstream {
     /// Opens a connection to `address`.
     pub(crate) async fn connect(address: SocketAddr) -> Result<Upstream, SendError> {
@@ -61,7 +83,10 @@
             .await
             .map_err(|_| not_sent("no connection in time".to_owned()))?
             .map_err(|error| not_sent(error.to_string()))?;
-        stream.set_nodelay(true).map_err(|error| not_sent(error.to_string()))?;
+        stream
+            .set_nodelay(true)
+            .and_then(|()| probe_when_silent(&stream))
+            .map_err(|error| not_sent(error.to_string()))?;
         let (sender, connection) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
             .await
