gateway: read the list of servers anew after an outage of the store

Ruled out: the collecting of changes (0.6 s) and the peers' hint (0.9 s) alone, which stay under 2 s. Change: a configuration that is verified again after 2.3 s without is the end of an outage, at which each host lists the servers anew; the first two hosts watch for 1 s and 2 s at a time and so notice a silent watch at once, the others for 20 s.

--- a/lib/src/coordination/gateway/beliefs.rs
+++ b/lib/src/coordination/gateway/beliefs.rs
@@ -21,6 +21,15 @@
 const TAKE_OVER_STEP: Duration = Duration::from_millis(150);
 const READ_STEPS_MAX: usize = 3;
 
+/// How long the watches of the list of servers wait at the first hosts in the common order, and at the
+/// others. A watch that fell silent is noticed after this time or, where it missed a change, by what
+/// the first hosts tell.
+const WATCH_WAITS: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(2)];
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// The age of the configuration from which the source counts as having been away: longer than all
+/// hosts need to take over reading.
+const OUTAGE_AGE: Duration = Duration::from_millis(2_300);
+
 /// What became of a configuration that was read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CatalogChange {
@@ -41,7 +50,7 @@
         if current.is_some_and(|version| catalog.version() < version) {
             return CatalogChange::Older;
         }
-        self.freshness.verify(sent);
+        self.verify_freshness(sent);
         if current == Some(catalog.version()) {
             return CatalogChange::Same;
         }
@@ -52,8 +61,20 @@
     /// Notes that a read sent at `sent` showed version `version` to be the newest.
     pub fn verify_catalog(&mut self, version: u64, sent: Moment) {
         if self.catalog.as_ref().is_some_and(|catalog| catalog.version() == version) {
-            self.freshness.verify(sent);
+            self.verify_freshness(sent);
+        }
+    }
+
+    fn verify_freshness(&mut self, sent: Moment) {
+        if self.freshness.age(sent).is_some_and(|age| age > OUTAGE_AGE) {
+            self.outages += 1;
         }
+        self.freshness.verify(sent);
+    }
+
+    /// Returns how many outages of the source were over so far.
+    pub fn outages(&self) -> u64 {
+        self.outages
     }
 
     /// Returns the time since the configuration was surely the newest.
@@ -149,6 +170,11 @@
         self.freshness.age(now).map_or(Duration::ZERO, |age| limit.saturating_sub(age))
     }
 
+    /// Returns how long a watch of the list of servers may wait.
+    pub fn watch_wait(&self, now: Moment) -> Duration {
+        WATCH_WAITS.get(self.peers.rank(now)).copied().unwrap_or(WATCH_WAIT)
+    }
+
     /// Returns whether a peer knows of a change of the list of servers that has not come here.
     pub fn misses_server_change(&self, now: Moment) -> bool {
         self.peers.newest_change(now) > self.servers_covered
--- a/lib/src/coordination/gateway/mod.rs
+++ b/lib/src/coordination/gateway/mod.rs
@@ -60,6 +60,8 @@
     bounds: GatewayBounds,
     catalog: Option<Arc<Catalog>>,
     freshness: Freshness,
+    /// The outages of the source that were over so far.
+    outages: u64,
     servers: ServerList,
     board: LoadBoard,
     health: HashMap<ServerId, ServerHealth>,
@@ -84,6 +86,7 @@
             freshness: Freshness::new(bounds.revoke),
             bounds,
             catalog: None,
+            outages: 0,
             servers: ServerList::default(),
             board: LoadBoard::default(),
             health: HashMap::new(),
--- a/lib/src/transport/gateway/context.rs
+++ b/lib/src/transport/gateway/context.rs
@@ -59,27 +59,23 @@
     }
 }
 
-/// How long a watch waits for changes of the list of servers where peers would tell of a change that
-/// it missed, and where none would.
-const WATCH_WAIT: Duration = Duration::from_secs(8);
-const WATCH_WAIT_ALONE: Duration = Duration::from_millis(2_500);
-
 impl ReadSchedule for GatewayContext {
     fn catalog_read_in(&self) -> Duration {
         self.gateway.borrow().catalog_read_in(self.now())
     }
 
     fn watch_wait(&self) -> Duration {
-        match self.gateway.borrow().peer_count(self.now()) {
-            0 => WATCH_WAIT_ALONE,
-            _ => WATCH_WAIT,
-        }
+        self.gateway.borrow().watch_wait(self.now())
     }
 
     fn misses_server_change(&self) -> bool {
         self.gateway.borrow().misses_server_change(self.now())
     }
 
+    fn outages(&self) -> u64 {
+        self.gateway.borrow().outages()
+    }
+
     fn changed(&self) -> Pin<Box<dyn Future<Output = ()> + '_>> {
         Box::pin(self.newer_known.notified())
     }
--- a/lib/src/transport/gateway/fleet_source.rs
+++ b/lib/src/transport/gateway/fleet_source.rs
@@ -61,6 +61,8 @@
         /// What is wrong with it.
         fault: String,
     },
+    /// The list of servers is read anew, and why.
+    WatchEnded(String),
     /// The source no longer answers, and what was seen.
     SourceLost(String),
     /// The source answers again.
@@ -81,6 +83,10 @@
     /// Returns whether the list misses a change that another host knows of.
     fn misses_server_change(&self) -> bool;
 
+    /// Returns how many outages of the source were over so far: what was asked before may never be
+    /// answered.
+    fn outages(&self) -> u64;
+
     /// Ends when another answer of this schedule is to be expected.
     fn changed(&self) -> Pin<Box<dyn Future<Output = ()> + '_>>;
 }
--- a/lib/src/transport/gateway/peer_socket.rs
+++ b/lib/src/transport/gateway/peer_socket.rs
@@ -78,9 +78,13 @@
             Ok(summary) => {
                 let incarnation = summary.incarnation;
                 let heard = PeerHeard { from: *from.ip(), summary };
+                let outages = ctx.gateway.borrow().outages();
                 let is_new = ctx.gateway.borrow_mut().hear_peer(now, heard);
                 let gateway = ctx.gateway.borrow();
-                if gateway.misses_server_change(now) || gateway.catalog_read_in(now).is_zero() {
+                if gateway.misses_server_change(now)
+                    || gateway.catalog_read_in(now).is_zero()
+                    || gateway.outages() != outages
+                {
                     ctx.newer_known.notify_waiters();
                 }
                 if is_new {
--- a/lib/src/transport/gateway/process.rs
+++ b/lib/src/transport/gateway/process.rs
@@ -264,6 +264,7 @@
 fn apply_update(ctx: &GatewayContext, update: FleetUpdate) {
     let now = ctx.now();
     let log = ctx.telemetry.log();
+    let outages = ctx.gateway.borrow().outages();
     let mut gateway = ctx.gateway.borrow_mut();
     match update {
         FleetUpdate::Catalog { catalog, sent } => {
@@ -317,6 +318,12 @@
             let age = gateway.catalog_age(now).map_or(-1, |age| age.as_millis() as i64);
             warn!(log, "store lost"; "error" => error, "catalog_age_ms" => age);
         }
+        FleetUpdate::WatchEnded(reason) => {
+            info!(log, "servers are listed anew"; "reason" => reason);
+        }
         FleetUpdate::SourceBack => info!(log, "store is back"),
     }
+    if gateway.outages() != outages {
+        ctx.newer_known.notify_waiters();
+    }
 }
--- a/lib/tests/test_gateway_beliefs.rs
+++ b/lib/tests/test_gateway_beliefs.rs
@@ -97,6 +97,41 @@
     assert!(hosts[3].catalog_read_in(at(3_000)).is_zero());
 }
 
+struct Outage {
+    /// The times, in milliseconds, at which reads or a peer's word showed the configuration newest.
+    verified: &'static [u64],
+    outages: u64,
+}
+
+#[test_case(Outage { verified: &[0, 800, 1_600, 2_400], outages: 0 } ; "the source answers all the time")]
+#[test_case(Outage { verified: &[0, 1_650, 2_450], outages: 0 } ; "another host takes over reading")]
+#[test_case(Outage { verified: &[0, 800, 4_800, 5_600], outages: 1 } ; "away for four seconds")]
+#[test_case(Outage { verified: &[0, 4_000, 4_800, 9_000], outages: 2 } ; "away twice")]
+fn the_end_of_an_outage_is_noticed(case: Outage) {
+    let mut host = gateway(1);
+    host.install_catalog(Catalog::new(parts(1)), at(0));
+    for verified in case.verified {
+        host.verify_catalog(1, at(*verified));
+    }
+    assert_eq!(host.outages(), case.outages);
+}
+
+#[test]
+fn the_first_hosts_notice_a_silent_watch_soon() {
+    let mut hosts: Vec<Gateway> = (1..=4).map(gateway).collect();
+    for host in &mut hosts {
+        host.install_catalog(Catalog::new(parts(1)), at(0));
+    }
+    let summaries: Vec<PeerSummary> =
+        hosts.iter_mut().map(|host| host.peer_summary(at(1))).collect();
+    let last = &mut hosts[3];
+    assert_eq!(last.watch_wait(at(2)), ms(1_000), "alone");
+    for (position, summary) in summaries.into_iter().take(3).enumerate() {
+        last.hear_peer(at(2), PeerHeard { from: address(position as u8 + 1), summary });
+    }
+    assert!(last.watch_wait(at(3)) > ms(5_000), "behind three others");
+}
+
 struct Readiness {
     own_age: u64,
     peer_age: Option<u64>,
