placement: pools of short prompts by zone, chance among like engines; summaries to far peers rarer

Change: each zone has its own pool, in which engines' costs differ by chance; peers of the zone hear every 4 ms and 3 ms a peer, others every 10 ms for each of these; summaries are half as long.

--- a/lib/src/coordination/gateway/beliefs.rs
+++ b/lib/src/coordination/gateway/beliefs.rs
@@ -1,5 +1,6 @@
 //! What the gateway believes of the configuration, the servers and itself, and how that changes.
 
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use super::PeerSummary;
 use super::ServerChange;
 use super::StopPhase;
+use super::SummaryReach;
 use crate::state::Catalog;
 use crate::state::Moment;
 use crate::state::Server;
@@ -123,6 +125,7 @@
         let (sequence, known) = self.peers.begin_message(now);
         PeerSummary {
             incarnation: self.peers.incarnation(),
+            zone: self.peers.zone(),
             sequence,
             version: self.catalog.as_ref().map_or(0, |catalog| catalog.version()),
             age: self.freshness.age(now),
@@ -187,13 +190,23 @@
         self.servers_change = self.servers_change.max(change.unwrap_or(0));
     }
 
-    /// Returns the addresses to send a summary to.
-    pub fn peer_addresses(&self, now: Moment) -> Vec<std::net::Ipv4Addr> {
+    /// Returns the addresses at which peers are or may be.
+    pub fn peer_addresses(&self, now: Moment) -> Vec<Ipv4Addr> {
         self.peers.addresses(now)
     }
 
+    /// Returns the addresses that a summary goes to now.
+    pub fn summary_addresses(&mut self, now: Moment, reach: SummaryReach) -> Vec<Ipv4Addr> {
+        self.peers.summary_addresses(now, reach)
+    }
+
+    /// Returns how long after a summary the next one may go out, and how long after it must.
+    pub fn summary_pause(&self, now: Moment) -> (Duration, Duration) {
+        self.peers.summary_pause(now)
+    }
+
     /// Adds addresses at which other entry hosts may be found.
-    pub fn set_seeds(&mut self, own: std::net::Ipv4Addr, seeds: Vec<std::net::Ipv4Addr>) {
+    pub fn set_seeds(&mut self, own: Ipv4Addr, seeds: Vec<Ipv4Addr>) {
         self.peers.set_seeds(own, seeds);
     }
 
--- a/lib/src/coordination/gateway/mod.rs
+++ b/lib/src/coordination/gateway/mod.rs
@@ -84,6 +84,7 @@
     pub fn new(bounds: GatewayBounds, seed: u64) -> Gateway {
         Gateway {
             freshness: Freshness::new(bounds.revoke),
+            peers: Peers::new(seed, &bounds.zone),
             bounds,
             catalog: None,
             outages: 0,
@@ -91,7 +92,6 @@
             board: LoadBoard::default(),
             health: HashMap::new(),
             budgets: HashMap::new(),
-            peers: Peers::new(seed),
             servers_covered: 0,
             servers_change: 0,
             queue: WaitQueue::default(),
--- a/lib/src/coordination/gateway/peers.rs
+++ b/lib/src/coordination/gateway/peers.rs
@@ -7,6 +7,8 @@
 
 use crate::state::Moment;
 use crate::state::ServerLoad;
+use crate::state::ZoneName;
+use crate::state::short_digest;
 
 /// How long a peer counts as live without a message.
 const PEER_LIFE: Duration = Duration::from_millis(1_500);
@@ -15,7 +17,16 @@
 /// The messages of this host whose time of sending is remembered.
 const SENT_MEMORY: usize = 256;
 /// How many messages there are for one that names all hosts that were heard.
-const ALL_KNOWN_EACH: u64 = 16;
+const ALL_KNOWN_EACH: u64 = 17;
+/// The shortest pause between two summaries to the peers of this host's zone: a constant part and one
+/// for each of them, so that the datagrams that a host gets in a second do not grow with their number.
+const NEAR_PAUSE: Duration = Duration::from_millis(4);
+const NEAR_PAUSE_EACH: Duration = Duration::from_millis(3);
+/// The shortest pause between two summaries to all others, for each of them. What crosses zones is
+/// dear, and short prompts seldom do.
+const FAR_PAUSE_EACH: Duration = Duration::from_millis(10);
+/// The longest pause between two summaries to any peer.
+const PAUSE_MAX: Duration = Duration::from_millis(400);
 /// The most peers that are remembered.
 const MAX_PEERS: usize = 1_000;
 
@@ -35,6 +46,8 @@
 pub struct PeerSummary {
     /// Which start of which host.
     pub incarnation: u64,
+    /// Stands for its availability zone.
+    pub zone: u32,
     /// Counts the messages of this start, so that an overtaken one is dropped.
     pub sequence: u64,
     /// The version of its configuration; 0 if it has none.
@@ -52,7 +65,7 @@
     /// The entry hosts that it has heard lately.
     pub known: Vec<HeardHost>,
     /// What it has at each server.
-    pub loads: Vec<(u64, ServerLoad)>,
+    pub loads: Vec<(u32, ServerLoad)>,
 }
 
 impl PeerSummary {
@@ -76,9 +89,19 @@
     pub summary: PeerSummary,
 }
 
+/// Which peers a summary goes to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SummaryReach {
+    /// Those of this host's zone, and the others when their pause is over.
+    Usual,
+    /// All, for what they must know at once.
+    All,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Peer {
     incarnation: u64,
+    zone: u32,
     sequence: u64,
     heard: Moment,
     is_usable: bool,
@@ -92,7 +115,10 @@
 #[derive(Debug)]
 pub struct Peers {
     incarnation: u64,
+    zone: u32,
     sequence: u64,
+    /// When a summary went to all peers.
+    told_all: Option<Moment>,
     /// When the latest messages were sent, the oldest first.
     sent: VecDeque<(u64, Moment)>,
     own: Option<Ipv4Addr>,
@@ -102,10 +128,12 @@
 }
 
 impl Peers {
-    pub(crate) fn new(incarnation: u64) -> Peers {
+    pub(crate) fn new(incarnation: u64, zone: &ZoneName) -> Peers {
         Peers {
             incarnation,
+            zone: short_digest(&[zone.as_str().as_bytes()]),
             sequence: 0,
+            told_all: None,
             sent: VecDeque::new(),
             own: None,
             seeds: Vec::new(),
@@ -118,6 +146,10 @@
         self.incarnation
     }
 
+    pub(crate) fn zone(&self) -> u32 {
+        self.zone
+    }
+
     pub(crate) fn set_seeds(&mut self, own: Ipv4Addr, seeds: Vec<Ipv4Addr>) {
         self.own = Some(own);
         self.seeds = seeds;
@@ -173,6 +205,7 @@
         }
         let peer = Peer {
             incarnation: summary.incarnation,
+            zone: summary.zone,
             sequence: summary.sequence,
             heard: now,
             is_usable: summary.is_usable,
@@ -201,6 +234,32 @@
         addresses
     }
 
+    /// Returns the addresses that a summary goes to now.
+    pub(crate) fn summary_addresses(&mut self, now: Moment, reach: SummaryReach) -> Vec<Ipv4Addr> {
+        let mut addresses = self.addresses(now);
+        let far = addresses.iter().filter(|address| !self.is_near(now, address)).count() as u32;
+        let pause = (FAR_PAUSE_EACH * far).min(PAUSE_MAX);
+        let is_due = self.told_all.is_none_or(|told| now.since(told) >= pause);
+        if is_due || reach == SummaryReach::All {
+            self.told_all = Some(now);
+        } else {
+            addresses.retain(|address| self.is_near(now, address));
+        }
+        addresses
+    }
+
+    /// Returns the shortest and the longest pause until the next summary.
+    pub(crate) fn summary_pause(&self, now: Moment) -> (Duration, Duration) {
+        let near = self.live(now).filter(|peer| peer.zone == self.zone).count() as u32;
+        ((NEAR_PAUSE + NEAR_PAUSE_EACH * near).min(PAUSE_MAX), PAUSE_MAX)
+    }
+
+    fn is_near(&self, now: Moment, address: &Ipv4Addr) -> bool {
+        self.peers
+            .get(address)
+            .is_some_and(|peer| peer.zone == self.zone && now.since(peer.heard) <= PEER_LIFE)
+    }
+
     pub(crate) fn any_usable(&self, now: Moment) -> bool {
         self.live(now).any(|peer| peer.is_usable)
     }
--- a/lib/src/coordination/gateway/place.rs
+++ b/lib/src/coordination/gateway/place.rs
@@ -20,6 +20,7 @@
 use crate::state::SendId;
 use crate::state::Server;
 use crate::state::Share;
+use crate::state::ZoneName;
 use crate::state::choose_group;
 use crate::state::prompt_worth;
 use crate::state::reading_price;
@@ -185,13 +186,7 @@
         let reading = profile.read_time(size.prompt);
         let worth = prompt_worth(size.prompt);
         let ahead = self.queue.ahead_of(now, ask.waiting, worth, reading);
-        let candidates: Vec<GroupCandidate> = servers
-            .iter()
-            .map(|server| {
-                let load = self.board.load(&server.id, now);
-                GroupCandidate { load, doubtful: self.is_doubtful(&server.id, now) }
-            })
-            .collect();
+        let candidates = self.group_candidates(now, servers);
         let behind: Duration = candidates.iter().map(|candidate| candidate.load.backlog).sum();
         let behind = (behind + ahead).as_secs_f64() / candidates.len().max(1) as f64;
         let engine_ask = EngineAsk {
@@ -200,6 +195,7 @@
             on_time: ask.on_time(now),
             give_up: ask.give_up.since(now),
             price: reading_price(self.load_factor(now, candidates.len()), behind),
+            draw: self.random.random(),
         };
         let outcome = choose_group(profile, &engine_ask, &candidates);
         let queued = ahead + self.peers.queued(now);
@@ -232,6 +228,19 @@
         }
     }
 
+    fn group_candidates(&self, now: Moment, servers: &[Server]) -> Vec<GroupCandidate> {
+        let mut zones: Vec<&ZoneName> = servers.iter().map(|server| &server.zone).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        let candidate = |server: &Server| GroupCandidate {
+            load: self.board.load(&server.id, now),
+            doubtful: self.is_doubtful(&server.id, now),
+            zone: zones.binary_search(&&server.zone).unwrap_or(0),
+            is_near: server.zone == self.bounds.zone,
+        };
+        servers.iter().map(candidate).collect()
+    }
+
     /// Lets `ask` wait, or refuses it if its caller leaves before its turn.
     fn wait(
         &mut self,
--- a/lib/src/protocol/gateway/load_wire.rs
+++ b/lib/src/protocol/gateway/load_wire.rs
@@ -12,11 +12,14 @@
 use crate::state::ServerLoad;
 
 /// The version of the datagram's form; others are dropped.
-const WIRE_VERSION: u8 = 1;
+const WIRE_VERSION: u8 = 2;
 
 /// The largest datagram that is read, in bytes.
 pub const MAX_DATAGRAM: usize = 16 * 1024;
 
+/// The units in which what answers are worth is told.
+const STAKE_UNIT: f64 = 10.0;
+
 /// The most servers in one datagram.
 const MAX_LOADS: usize = 700;
 
@@ -24,6 +27,7 @@
 struct WireSummary {
     version: u8,
     incarnation: u64,
+    zone: u32,
     sequence: u64,
     catalog_version: u64,
     age_ms: Option<u32>,
@@ -44,10 +48,11 @@
 
 #[derive(Debug, Serialize, Deserialize)]
 struct WireLoad {
-    server: u64,
+    server: u32,
     backlog_ms: u32,
     running: [u32; PauseClass::ALL.len()],
-    at_stake: [f32; PauseClass::ALL.len()],
+    /// In tenths.
+    at_stake: [u32; PauseClass::ALL.len()],
     tokens: u64,
 }
 
@@ -100,7 +105,7 @@
             server: *server,
             backlog_ms: millis(load.backlog),
             running: load.running,
-            at_stake: load.at_stake.map(|worth| worth as f32),
+            at_stake: load.at_stake.map(|worth| (worth * STAKE_UNIT).round() as u32),
             tokens: load.tokens,
         });
         let known = summary.known.iter().map(|heard| WireHeard {
@@ -111,6 +116,7 @@
         WireSummary {
             version: WIRE_VERSION,
             incarnation: summary.incarnation,
+            zone: summary.zone,
             sequence: summary.sequence,
             catalog_version: summary.version,
             age_ms: summary.age.map(age_millis),
@@ -130,7 +136,7 @@
             let decoded = ServerLoad {
                 backlog: Duration::from_millis(load.backlog_ms.into()),
                 running: load.running,
-                at_stake: load.at_stake.map(f64::from),
+                at_stake: load.at_stake.map(|tenths| f64::from(tenths) / STAKE_UNIT),
                 tokens: load.tokens,
             };
             (load.server, decoded)
@@ -142,6 +148,7 @@
         });
         PeerSummary {
             incarnation: wire.incarnation,
+            zone: wire.zone,
             sequence: wire.sequence,
             version: wire.catalog_version,
             age: wire.age_ms.map(|age| Duration::from_millis(age.into())),
--- a/lib/src/state/gateway/board.rs
+++ b/lib/src/state/gateway/board.rs
@@ -134,7 +134,7 @@
 
 #[derive(Debug, Default)]
 struct OwnLoad {
-    digest: u64,
+    digest: u32,
     reads_until: Moment,
     shares: Vec<OwnShare>,
 }
@@ -159,7 +159,7 @@
 #[derive(Debug)]
 struct PeerSummary {
     heard: Moment,
-    loads: HashMap<u64, ServerLoad>,
+    loads: HashMap<u32, ServerLoad>,
 }
 
 /// The loads of all servers.
@@ -224,7 +224,7 @@
     }
 
     /// Returns what this host has at each server, for its peers.
-    pub fn summary(&self, now: Moment) -> Vec<(u64, ServerLoad)> {
+    pub fn summary(&self, now: Moment) -> Vec<(u32, ServerLoad)> {
         self.own.values().map(|own| (own.digest, own.load(now))).collect()
     }
 
@@ -232,7 +232,7 @@
     pub fn hear(
         &mut self,
         peer: u64,
-        loads: impl IntoIterator<Item = (u64, ServerLoad)>,
+        loads: impl IntoIterator<Item = (u32, ServerLoad)>,
         now: Moment,
     ) {
         let loads = loads.into_iter().collect();
--- a/lib/src/state/gateway/group_choice.rs
+++ b/lib/src/state/gateway/group_choice.rs
@@ -8,6 +8,10 @@
 
 use std::time::Duration;
 
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
 use super::EngineProfile;
 use super::PauseClass;
 use super::PromptSize;
@@ -42,8 +46,8 @@
 const READ_POWERS: [i32; PauseClass::ALL.len()] = [9, 6, 8];
 /// What part of the objective the first event may take by the estimate.
 const SAFE_PART: f64 = 0.8;
-/// How many short requests one engine of their pool runs before the pool grows.
-const TIGHT_PER_ENGINE: u32 = 4;
+/// The part of the slots that short requests take at the engines of their pool before it grows.
+const POOL_SLOTS_PART: f64 = 0.6;
 /// What part of its worth a request gains by an event at once over one that is just on time, for the
 /// engines are then free for others.
 const EARLY_GAIN: f64 = 0.2;
@@ -53,10 +57,16 @@
 const POOL_COST: f64 = 0.3;
 /// What each further place in the common order costs short requests, so that they leave the other
 /// engines soon when they become fewer.
-const PACK_COST: f64 = 0.003;
+const PACK_COST: f64 = 0.001;
+/// What an engine in another zone costs a short request: hosts know the loads of their own zone sooner,
+/// and bytes between zones are dear.
+const FAR_COST: f64 = 0.05;
+/// The most that chance adds to an engine's cost for a short request. What hosts know of each other is
+/// a tenth of a second old: without it, all would choose the same engine meanwhile.
+const CHANCE_COST: f64 = 0.01;
 /// What each further place in the common order costs long requests, so that they stay away from the
 /// pool of short ones.
-const ORDER_COST: f64 = 0.005;
+const ORDER_COST: f64 = 0.002;
 /// What each further engine in a group costs.
 const MEMBER_COST: f64 = 0.007;
 /// What a place at an engine costs that lately failed requests.
@@ -77,6 +87,10 @@
     pub load: ServerLoad,
     /// Whether it was lost or failed often lately.
     pub doubtful: bool,
+    /// Its availability zone, as a number that is the same for all engines of one zone.
+    pub zone: usize,
+    /// Whether that is the zone of the host that chooses.
+    pub is_near: bool,
 }
 
 /// What is asked of the engines.
@@ -92,6 +106,8 @@
     pub give_up: Duration,
     /// What a second of an engine's reading must be worth, for the engines' time is scarce.
     pub price: f64,
+    /// Draws what chance adds to each engine's cost.
+    pub draw: u64,
 }
 
 /// An engine that reads with the first one.
@@ -141,12 +157,22 @@
     BASE_WORTH + tokens as f64 / TOKENS_PER_WORTH
 }
 
-/// Returns how many engines the short requests share, by how many of them run.
-fn tight_pool(candidates: &[GroupCandidate]) -> usize {
-    let running: u32 =
-        candidates.iter().map(|one| one.load.running[PauseClass::Tight as usize]).sum();
-    let pool = running / TIGHT_PER_ENGINE + 1;
-    (pool as usize).min(candidates.len())
+/// Returns for each engine whether it is one of those that the short requests share: the first ones of
+/// its zone, as many as the short requests that run in the zone need.
+fn tight_pool(slots: u32, candidates: &[GroupCandidate]) -> Vec<bool> {
+    let zones = candidates.iter().map(|one| one.zone + 1).max().unwrap_or(0);
+    let mut running = vec![0; zones];
+    for one in candidates {
+        running[one.zone] += one.load.running[PauseClass::Tight as usize];
+    }
+    let each = (f64::from(slots) * POOL_SLOTS_PART).max(1.0) as u32;
+    let mut left: Vec<u32> = running.iter().map(|count| count / each + 1).collect();
+    let joins = |one: &GroupCandidate| {
+        let is_open = left[one.zone] > 0;
+        left[one.zone] -= u32::from(is_open);
+        is_open
+    };
+    candidates.iter().map(joins).collect()
 }
 
 /// Returns what part of its worth an answer is taken to lose when its engine reads for `reading`
@@ -157,6 +183,12 @@
     READ_HARMS[pauses as usize] * share.min(1.0).powi(READ_POWERS[pauses as usize])
 }
 
+/// Returns a number from 0 to 1 that is spread evenly over draws and positions.
+fn chance(draw: u64, position: usize) -> f64 {
+    let mut random = SmallRng::seed_from_u64(draw ^ (position as u64).rotate_left(32));
+    random.random()
+}
+
 /// Chooses engines for `ask` among `candidates`, which share `profile`.
 pub fn choose_group(
     profile: &EngineProfile,
@@ -173,8 +205,8 @@
     if need > room * holders as u64 {
         return ChoiceOutcome::TooLarge;
     }
-    let pool = tight_pool(candidates);
-    let choice = Chooser { profile, ask, candidates, room, need, pool };
+    let pool = tight_pool(profile.slots, candidates);
+    let choice = Chooser { profile, ask, candidates, room, need, pool: &pool };
     choice.best()
 }
 
@@ -184,8 +216,8 @@
     candidates: &'a [GroupCandidate],
     room: u64,
     need: u64,
-    /// The number of engines, from the start of the common order, that short requests share.
-    pool: usize,
+    /// For each engine, whether short requests share it.
+    pool: &'a [bool],
 }
 
 impl Chooser<'_> {
@@ -299,11 +331,15 @@
         }
         match self.ask.pauses {
             PauseClass::Tight => {
-                if position >= self.pool {
+                if !self.pool[position] {
                     cost += OUTSIDE_COST + ORDER_COST * position as f64;
                 }
+                if !candidate.is_near {
+                    cost += FAR_COST;
+                }
                 cost += load.backlog.as_secs_f64();
                 cost += PACK_COST * position as f64;
+                cost += CHANCE_COST * chance(self.ask.draw, position);
             }
             PauseClass::Loose | PauseClass::Wide => {
                 let from_end = self.candidates.len() - 1 - position;
--- a/lib/src/state/gateway/server.rs
+++ b/lib/src/state/gateway/server.rs
@@ -26,16 +26,22 @@
     /// let second = ServerId { id: "i-1".into(), born: 2 };
     /// assert_ne!(first.digest(), second.digest());
     /// ```
-    pub fn digest(&self) -> u64 {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(self.id.as_bytes());
-        hasher.update(&self.born.to_le_bytes());
-        let mut first = [0; 8];
-        first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-        u64::from_le_bytes(first)
+    pub fn digest(&self) -> u32 {
+        short_digest(&[self.id.as_bytes(), &self.born.to_le_bytes()])
     }
 }
 
+/// Returns the first bytes of a hash, for messages in which a rare collision does little harm.
+pub(crate) fn short_digest(parts: &[&[u8]]) -> u32 {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(part);
+    }
+    let mut first = [0; 4];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..4]);
+    u32::from_le_bytes(first)
+}
+
 /// A server that takes requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Server {
--- a/lib/src/transport/gateway/peer_socket.rs
+++ b/lib/src/transport/gateway/peer_socket.rs
@@ -5,7 +5,6 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use slog::info;
 use slog::warn;
@@ -16,17 +15,11 @@
 
 use super::context::GatewayContext;
 use crate::coordination::PeerHeard;
+use crate::coordination::SummaryReach;
 use crate::protocol::MAX_DATAGRAM;
 use crate::protocol::decode_summary;
 use crate::protocol::encode_summary;
 
-/// The longest pause between two summaries.
-const SUMMARY_INTERVAL: Duration = Duration::from_millis(400);
-/// The shortest pause between two summaries: a constant part and one for each peer, so that the
-/// datagrams that a host gets in a second do not grow with the number of hosts.
-const LEAST_PAUSE: Duration = Duration::from_millis(4);
-const PAUSE_PER_PEER: Duration = Duration::from_millis(3);
-
 /// Opens the socket for the peers' datagrams.
 pub(crate) async fn open(own: Ipv4Addr, port: u16) -> io::Result<Rc<UdpSocket>> {
     Ok(Rc::new(UdpSocket::bind((own, port)).await?))
@@ -34,9 +27,10 @@
 
 /// Sends summaries: when the load changes, and now and then.
 pub(crate) async fn send_summaries(ctx: Rc<GatewayContext>, socket: Rc<UdpSocket>, port: u16) {
+    let mut reach = SummaryReach::All;
     loop {
         let now = ctx.now();
-        let addresses = ctx.gateway.borrow().peer_addresses(now);
+        let addresses = ctx.gateway.borrow_mut().summary_addresses(now, reach);
         let summary = ctx.gateway.borrow_mut().peer_summary(now);
         for address in &addresses {
             match encode_summary(&summary.for_peer(*address)) {
@@ -50,16 +44,16 @@
             }
         }
         let sent = Instant::now();
-        let pause = LEAST_PAUSE + PAUSE_PER_PEER * addresses.len() as u32;
+        let (shortest, longest) = ctx.gateway.borrow().summary_pause(now);
         let usual = async {
             // Running out of time is the regular summary.
-            let _ = timeout_at(sent + SUMMARY_INTERVAL, ctx.load_changed.notified()).await;
-            sleep_until(sent + pause.min(SUMMARY_INTERVAL)).await;
+            let _ = timeout_at(sent + longest, ctx.load_changed.notified()).await;
+            sleep_until(sent + shortest).await;
+        };
+        reach = tokio::select! {
+            () = usual => SummaryReach::Usual,
+            () = ctx.engines_taken.notified() => SummaryReach::All,
         };
-        tokio::select! {
-            () = usual => {}
-            () = ctx.engines_taken.notified() => {}
-        }
     }
 }
 
--- a/lib/tests/test_gateway_choice.rs
+++ b/lib/tests/test_gateway_choice.rs
@@ -22,11 +22,16 @@
         on_time: if is_short { ms(300) } else { ms(3_000) },
         give_up: if is_short { ms(2_000) } else { ms(12_000) },
         price: 0.0,
+        draw: 7,
     }
 }
 
+fn candidate(load: ServerLoad) -> GroupCandidate {
+    GroupCandidate { load, doubtful: false, zone: 0, is_near: true }
+}
+
 fn idle() -> GroupCandidate {
-    GroupCandidate { load: ServerLoad::default(), doubtful: false }
+    candidate(ServerLoad::default())
 }
 
 fn with_short(count: u32) -> GroupCandidate {
@@ -36,12 +41,12 @@
         tokens: u64::from(count) * 6_000,
         ..ServerLoad::default()
     };
-    GroupCandidate { load, doubtful: false }
+    candidate(load)
 }
 
 fn reading(backlog: u64) -> GroupCandidate {
     let load = ServerLoad { backlog: ms(backlog), ..ServerLoad::default() };
-    GroupCandidate { load, doubtful: false }
+    candidate(load)
 }
 
 fn sent(ask: &EngineAsk, candidates: &[GroupCandidate]) -> GroupChoice {
@@ -116,3 +121,49 @@
     let outcome = choose_group(&profile, &ask, &candidates);
     assert!((case.outcome)(&outcome), "{outcome:?}");
 }
+
+/// The places that hosts with the same view choose for a short prompt, one draw each.
+fn places(candidates: &[GroupCandidate]) -> Vec<usize> {
+    let place = |draw| sent(&EngineAsk { draw, ..ask(5_000) }, candidates).first;
+    (0..40).map(place).collect()
+}
+
+fn distinct(places: &[usize]) -> usize {
+    places.iter().collect::<std::collections::BTreeSet<_>>().len()
+}
+
+#[test]
+fn hosts_that_share_an_old_view_do_not_all_choose_the_same_engine() {
+    // Twenty short prompts need more than one engine, and these are all alike.
+    let candidates = [with_short(5); 6];
+    let places = places(&candidates);
+    assert!(distinct(&places) >= 3, "{places:?}");
+    let most = (0..6).map(|at| places.iter().filter(|place| **place == at).count()).max();
+    assert!(most <= Some(places.len() / 2), "{places:?}");
+}
+
+#[test]
+fn few_short_prompts_stay_together_whatever_is_drawn() {
+    let candidates = [with_short(3), idle(), idle(), idle(), idle(), idle()];
+    assert_eq!(distinct(&places(&candidates)), 1);
+}
+
+struct Zones {
+    near: ServerLoad,
+    goes_near: bool,
+}
+
+fn busy(running: u32, backlog: u64) -> ServerLoad {
+    ServerLoad { running: [running, 0, 0], backlog: ms(backlog), ..ServerLoad::default() }
+}
+
+#[test_case(Zones { near: busy(4, 0), goes_near: true } ; "room in the own zone")]
+#[test_case(Zones { near: busy(4, 15), goes_near: true } ; "a short prompt is read in the own zone")]
+#[test_case(Zones { near: busy(4, 400), goes_near: false } ; "a long prompt is read in the own zone")]
+#[test_case(Zones { near: busy(16, 0), goes_near: false } ; "no slot in the own zone")]
+fn a_short_prompt_leaves_its_zone_only_for_a_reason(zones: Zones) {
+    let far = GroupCandidate { zone: 1, is_near: false, ..candidate(busy(1, 0)) };
+    let near = candidate(zones.near);
+    let choice = sent(&ask(5_000), &[far, near]);
+    assert_eq!(choice.first == 1, zones.goes_near);
+}
--- a/lib/tests/test_gateway_load.rs
+++ b/lib/tests/test_gateway_load.rs
@@ -42,12 +42,14 @@
 struct Pattern {
     load: fn(u64) -> GatewayLoad,
     faults: &'static [(usize, EngineFault)],
-    /// The part of the worth that must be earned: the site files' upper marks for such days.
+    /// The part of the worth that must be earned: the users' targets for days of trouble and of high
+    /// load (0.60 and 0.61), and the project's goal of 0.9 for a load that the engines can bear
+    /// (docs/design/platform.md).
     least: f64,
 }
 
-#[test_case(Pattern { load: alternating, faults: &[], least: 0.60 } ; "bursts of long prompts between bursts of short ones")]
-#[test_case(Pattern { load: calm, faults: &[], least: 0.80 } ; "a steady load of all kinds")]
+#[test_case(Pattern { load: alternating, faults: &[], least: 0.61 } ; "bursts of long prompts between bursts of short ones")]
+#[test_case(Pattern { load: calm, faults: &[], least: 0.9 } ; "a steady load of all kinds")]
 #[test_case(Pattern { load: calm, faults: &[(3, EngineFault::Silent)], least: 0.60 } ; "an engine that falls silent")]
 #[test_case(Pattern { load: calm, faults: &[(0, EngineFault::Slow(6))], least: 0.60 } ; "an engine of the short prompts that turns slow")]
 fn more_is_earned_than_by_the_fewest_requests(pattern: Pattern) {
@@ -60,12 +62,26 @@
     assert!(ours >= pattern.least, "{ours:.3} in place of {}", pattern.least);
 }
 
-#[test]
-fn short_prompts_stay_quick_beside_bursts_of_long_ones() {
-    let reports = play(&ReplaySetup::today(), alternating);
+/// The share of short prompts that the project's goal wants on time, by the sheet, on the heaviest load.
+const ON_TIME: f64 = 0.9;
+/// The share of requests whose first token the users want within 1.7 s.
+const FIRST_TOKEN: f64 = 0.95;
+
+struct Deployment {
+    setup: fn() -> ReplaySetup,
+    kinds: fn() -> Vec<SheetKind>,
+}
+
+#[test_case(Deployment { setup: ReplaySetup::today, kinds: SheetKind::today } ; "five hosts that hear of each other soon")]
+#[test_case(Deployment { setup: ReplaySetup::grown, kinds: SheetKind::grown } ; "thirty hosts whose views of other zones are old")]
+fn short_prompts_stay_quick_beside_bursts_of_long_ones(deployment: Deployment) {
+    let load = |seed| GatewayLoad::alternating((deployment.kinds)(), seed);
+    let reports = play(&(deployment.setup)(), load);
     let asked = total(&reports, QUESTION, |kind| kind.asked);
     let on_time = total(&reports, QUESTION, |kind| kind.on_time);
-    assert!(on_time / asked >= 0.9, "{on_time} of {asked}");
+    assert!(on_time / asked >= ON_TIME, "{on_time} of {asked}");
+    let soon = total(&reports, QUESTION, |kind| kind.soon);
+    assert!(soon / asked >= FIRST_TOKEN, "{soon} of {asked} within 1.7 s");
 }
 
 #[test]
--- a/workload/src/gateway/engine.rs
+++ b/workload/src/gateway/engine.rs
@@ -32,6 +32,13 @@
     is_helping: bool,
 }
 
+/// A prompt that waits for a slot.
+#[derive(Debug)]
+struct Waiting {
+    urgency: u8,
+    reading: Reading,
+}
+
 #[derive(Debug)]
 struct Writing {
     job: JobId,
@@ -55,6 +62,7 @@
 pub(crate) struct Engine {
     profile: EngineProfile,
     fault: Option<EngineFault>,
+    waiting: Vec<Waiting>,
     readings: VecDeque<Reading>,
     writings: Vec<Writing>,
     pass: Option<Vec<EngineEvent>>,
@@ -62,18 +70,37 @@
 
 impl Engine {
     pub(crate) fn new(profile: EngineProfile, fault: Option<EngineFault>) -> Engine {
-        Engine { profile, fault, readings: VecDeque::new(), writings: Vec::new(), pass: None }
+        Engine {
+            profile,
+            fault,
+            waiting: Vec::new(),
+            readings: VecDeque::new(),
+            writings: Vec::new(),
+            pass: None,
+        }
     }
 
-    /// Adds a part of a prompt; helpers' parts go before other prompts.
-    pub(crate) fn read(&mut self, job: JobId, tokens: f64, ms: f64, is_helping: bool) {
-        let reading = Reading { job, tokens, ms_per_token: ms / tokens.max(1.0), is_helping };
-        if is_helping {
-            let at = self.readings.iter().take_while(|one| one.is_helping).count();
-            self.readings.insert(at, reading);
-        } else {
-            self.readings.push_back(reading);
-        }
+    /// Adds a helper's part of a prompt, which needs no slot and goes before other prompts.
+    pub(crate) fn help(&mut self, job: JobId, tokens: f64, ms: f64) {
+        let at = self.readings.iter().take_while(|one| one.is_helping).count();
+        let ms_per_token = ms / tokens.max(1.0);
+        self.readings.insert(at, Reading { job, tokens, ms_per_token, is_helping: true });
+    }
+
+    /// Adds the part of a prompt whose answer is written here; it waits for a slot.
+    pub(crate) fn read(&mut self, job: JobId, tokens: f64, ms: f64, urgency: u8) {
+        let ms_per_token = ms / tokens.max(1.0);
+        let reading = Reading { job, tokens, ms_per_token, is_helping: false };
+        let at = self.waiting.iter().take_while(|one| one.urgency <= urgency).count();
+        self.waiting.insert(at, Waiting { urgency, reading });
+    }
+
+    /// Admits waiting prompts to the free slots.
+    fn admit(&mut self) {
+        let reading = self.readings.iter().filter(|one| !one.is_helping).count();
+        let free = (self.profile.slots as usize).saturating_sub(reading + self.writings.len());
+        let admitted = free.min(self.waiting.len());
+        self.readings.extend(self.waiting.drain(..admitted).map(|one| one.reading));
     }
 
     /// Begins an answer of `tokens`.
@@ -83,18 +110,21 @@
 
     /// Drops all work of a job.
     pub(crate) fn cancel(&mut self, job: JobId) {
+        self.waiting.retain(|waiting| waiting.reading.job != job);
         self.readings.retain(|reading| reading.job != job);
         self.writings.retain(|writing| writing.job != job);
     }
 
     /// Returns whether a pass can begin.
     pub(crate) fn is_startable(&self) -> bool {
-        let has_work = !self.readings.is_empty() || !self.writings.is_empty();
+        let has_work =
+            !self.waiting.is_empty() || !self.readings.is_empty() || !self.writings.is_empty();
         self.pass.is_none() && has_work && self.fault != Some(EngineFault::Silent)
     }
 
     /// Begins a pass; returns how long it takes, in milliseconds.
     pub(crate) fn begin_pass(&mut self) -> f64 {
+        self.admit();
         let steps =
             if self.writings.is_empty() { READ_STEPS } else { f64::from(self.profile.pass_steps) };
         let mut events = Vec::new();
--- a/workload/src/gateway/fleet.rs
+++ b/workload/src/gateway/fleet.rs
@@ -26,16 +26,24 @@
 use super::replay::HOST;
 use super::replay::ReplaySetup;
 
+/// The availability zones of a replay.
+const ZONES: usize = 3;
+
 pub(crate) fn address(host: usize) -> Ipv4Addr {
     Ipv4Addr::from(0x0a01_0001 + host as u32)
 }
 
+/// Returns the zone of a host or an engine by its position: they are spread evenly.
+fn zone(position: usize) -> ZoneName {
+    ZoneName::new(format!("zone-{}", position % ZONES))
+}
+
 pub(crate) fn server(position: usize) -> Server {
     Server {
         id: ServerId { id: format!("engine-{position:02}").into(), born: 1 },
         service: ServiceName::new("engines"),
         address: ([10, 9, 0, position as u8 + 1], 8_000).into(),
-        zone: ZoneName::new("zone"),
+        zone: zone(position),
         slots: 16,
         draining: false,
     }
@@ -48,12 +56,12 @@
     servers: &[Server],
 ) -> Gateway {
     let bounds = GatewayBounds {
-        zone: ZoneName::new("zone"),
+        zone: zone(host),
         revoke: Duration::from_secs(100_000),
         budget: BudgetBounds { ratio: 0.2, slack: 104.0, window: Duration::from_secs(10) },
     };
     let mut gateway = Gateway::new(bounds, load.seed.wrapping_mul(1_000) + host as u64 + 1);
-    gateway.set_seeds(address(host), Vec::new());
+    gateway.set_seeds(address(host), (0..setup.hosts).map(address).collect());
     let routes = load.kinds.iter().enumerate().map(|(position, kind)| Route {
         name: Arc::from(kind.name),
         host: HOST.to_owned(),
--- a/workload/src/gateway/replay.rs
+++ b/workload/src/gateway/replay.rs
@@ -16,6 +16,7 @@
 use wasabicrank_lib::coordination::NextStep;
 use wasabicrank_lib::coordination::PeerHeard;
 use wasabicrank_lib::coordination::SendResult;
+use wasabicrank_lib::coordination::SummaryReach;
 use wasabicrank_lib::state::EngineProfile;
 use wasabicrank_lib::state::Moment;
 use wasabicrank_lib::state::RequestFacts;
@@ -38,10 +39,12 @@
 
 /// The way between a host and an engine, or a host and another.
 const WAY: Duration = Duration::from_millis(2);
-/// The shortest time between two summaries of a host to its peers.
-const SUMMARY_PAUSE: Duration = Duration::from_millis(16);
 /// The expected time to the first event from which peers are told at once.
 const TOLD_AT_ONCE: Duration = Duration::from_millis(150);
+/// The users' aim for the first token, for 95 in 100.
+const FIRST_TOKEN_AIM: Duration = Duration::from_millis(1_700);
+/// The urgency of a request that states none.
+const USUAL_URGENCY: u8 = 5;
 /// The host that routes name.
 pub(crate) const HOST: &str = "replay.example";
 
@@ -151,6 +154,7 @@
     order: u64,
     gateways: Vec<Gateway>,
     is_summary_due: Vec<bool>,
+    summarized: Vec<Moment>,
     engines: Vec<Engine>,
     positions: HashMap<ServerId, usize>,
     jobs: HashMap<JobId, Job>,
@@ -199,6 +203,7 @@
             order: 0,
             gateways,
             is_summary_due: vec![false; setup.hosts],
+            summarized: vec![Moment(0); setup.hosts],
             engines: engines.collect(),
             positions: servers.iter().enumerate().map(|(at, one)| (one.id.clone(), at)).collect(),
             jobs: HashMap::new(),
@@ -227,7 +232,7 @@
             Event::First(job) => self.first_event(job),
             Event::Silence(job) => self.silence(job),
             Event::Leave(request) => self.leave(request),
-            Event::Summarize(host) => self.summarize(host),
+            Event::Summarize(host) => self.summarize(host, SummaryReach::Usual),
         }
     }
 
@@ -325,7 +330,7 @@
         self.schedule(self.now + WAY, Event::AtEngine(id));
         self.schedule(limit, Event::Silence(id));
         if is_told_at_once {
-            self.summarize(host);
+            self.summarize(host, SummaryReach::All);
         } else {
             self.load_changed(host);
         }
@@ -339,8 +344,12 @@
         let tokens = size.prompt as f64 / parts;
         let servers: Vec<usize> =
             job.dispatch.servers().map(|server| self.positions[&server.id]).collect();
+        let urgency = job.dispatch.urgency.unwrap_or(USUAL_URGENCY);
         for (at, engine) in servers.into_iter().enumerate() {
-            self.engines[engine].read(id, tokens, ms, at > 0);
+            match at {
+                0 => self.engines[engine].read(id, tokens, ms, urgency),
+                _ => self.engines[engine].help(id, tokens, ms),
+            }
             self.start_pass(engine);
         }
     }
@@ -472,19 +481,21 @@
     fn load_changed(&mut self, host: usize) {
         if !self.is_summary_due[host] {
             self.is_summary_due[host] = true;
-            self.schedule(self.now + SUMMARY_PAUSE, Event::Summarize(host));
+            let (shortest, _) = self.gateways[host].summary_pause(self.now);
+            let at = (self.summarized[host] + shortest).max(self.now);
+            self.schedule(at, Event::Summarize(host));
         }
     }
 
-    /// Tells the peers; the way is left out, since the pause before is longer.
-    fn summarize(&mut self, host: usize) {
+    /// Tells the peers; the way is left out, since the pause before is mostly longer.
+    fn summarize(&mut self, host: usize, reach: SummaryReach) {
         self.is_summary_due[host] = false;
+        self.summarized[host] = self.now;
+        let addresses = self.gateways[host].summary_addresses(self.now, reach);
         let summary = self.gateways[host].peer_summary(self.now);
-        for peer in 0..self.setup.hosts {
-            if peer != host {
-                let heard = PeerHeard { from: address(host), summary: summary.clone() };
-                self.gateways[peer].hear_peer(self.now, heard);
-            }
+        for peer in (0..self.setup.hosts).filter(|peer| addresses.contains(&address(*peer))) {
+            let heard = PeerHeard { from: address(host), summary: summary.clone() };
+            self.gateways[peer].hear_peer(self.now, heard);
         }
     }
 
@@ -535,6 +546,7 @@
         let first = caller.first_event.map_or(Duration::MAX, |at| at.since(caller.arrival.at));
         let is_first_late = first > kind.objective;
         result.late_first += u32::from(is_first_late);
+        result.soon += u32::from(first <= FIRST_TOKEN_AIM);
         let is_late = is_first_late || caller.longest_pause > kind.gap;
         let earned = if is_late { late_worth } else { worth };
         result.late += u32::from(is_late);
--- a/workload/src/gateway/report.rs
+++ b/workload/src/gateway/report.rs
@@ -11,6 +11,8 @@
     pub late: u32,
     /// Those whose first event came too late.
     pub late_first: u32,
+    /// Those whose first event came within the users' aim of 1.7 s, whatever their sheet says.
+    pub soon: u32,
     /// Those that were refused in the end.
     pub refused: u32,
     /// What was earned of the worth.
