soak: entry hosts as processes under random faults from outside

Runs wasabicrank host processes before stand-ins for the store and the servers, behind relays; injects signals, cuts one way and both, delays, resets, store outages, spoilt answers, servers that crash or leave, and changes of the configuration; checks twelve promises from what callers and servers saw. A short run is part of the tests.

--- /dev/null
+++ b/cli/tests/test_soak.rs
@@ -0,0 +1,36 @@
+//! Short soaks with fixed seeds: entry hosts as processes under faults from outside. Longer ones are run
+//! by hand (docs/soak.md), where each seed that ever failed is listed and added here.
+
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use wasabicrank_soak::SoakSetup;
+use wasabicrank_soak::run;
+
+/// The seeds that are played, all at once.
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+/// How long faults come; the fleet then has twelve seconds to recover.
+const SPAN: Duration = Duration::from_secs(8);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_promise_is_broken_under_random_faults() {
+    let soaks = SEEDS.iter().enumerate().map(|(position, seed)| {
+        let setup = SoakSetup {
+            binary: env!("CARGO_BIN_EXE_wasabicrank").into(),
+            seed: *seed,
+            span: SPAN,
+            hosts: 3,
+            callers: 4,
+            // Other programs of tests may run at the same time.
+            net: [130 + position as u8, std::process::id() as u8],
+        };
+        async move { run(&setup).await }
+    });
+    for (seed, report) in SEEDS.into_iter().zip(join_all(soaks).await) {
+        let report = report.expect("the soak runs");
+        assert!(report.requests > 100, "seed {seed}: {} requests", report.requests);
+        let broken = report.broken.join("\n");
+        assert!(report.broken.is_empty(), "seed {seed}, {:#?}:\n{broken}", report.faults);
+    }
+}
--- a/lib/testutils/src/process.rs
+++ b/lib/testutils/src/process.rs
@@ -49,6 +49,8 @@
     Stop,
     /// Lets it go on after a pause.
     Continue,
+    /// Asks it to read its settings again.
+    Hangup,
 }
 
 impl Signal {
@@ -58,6 +60,7 @@
             Signal::Kill => "KILL",
             Signal::Stop => "STOP",
             Signal::Continue => "CONT",
+            Signal::Hangup => "HUP",
         }
     }
 }
@@ -95,7 +98,7 @@
     }
 }
 
-/// A child process that runs `wasabicrank serve`; it is killed when this is dropped.
+/// A child process that runs an entry host; it is killed when this is dropped.
 #[derive(Debug)]
 pub struct Process {
     child: Mutex<Child>,
@@ -109,11 +112,20 @@
 impl Process {
     /// Starts `binary serve` with `settings`, without waiting until it is up.
     pub fn spawn(binary: impl AsRef<Path>, settings: &Value) -> Result<Process, ProcessError> {
-        let callers = caller_addr(settings)?;
+        Process::run(binary, "serve", settings, caller_addr(settings)?)
+    }
+
+    /// Starts `binary command` with `settings`, by which it takes callers at `callers`.
+    pub fn run(
+        binary: impl AsRef<Path>,
+        command: &str,
+        settings: &Value,
+        callers: SocketAddr,
+    ) -> Result<Process, ProcessError> {
         let file = settings_file();
         fs::write(&file, settings.to_string())?;
         let mut child = Command::new(binary.as_ref())
-            .arg("serve")
+            .arg(command)
             .arg("--settings")
             .arg(&file)
             .stdin(Stdio::null())
@@ -143,6 +155,11 @@
         self.callers
     }
 
+    /// Replaces its settings, which it reads when it is told to.
+    pub fn rewrite_settings(&self, settings: &Value) -> io::Result<()> {
+        fs::write(&self.settings, settings.to_string())
+    }
+
     /// Waits until it says that it is healthy.
     pub async fn wait_healthy(&self, limit: Duration) -> Result<(), ProcessError> {
         let client = reqwest::Client::new();
@@ -177,7 +194,7 @@
         }
         match signal {
             Signal::Stop => self.wait_stopped(),
-            Signal::Term | Signal::Kill | Signal::Continue => Ok(()),
+            Signal::Term | Signal::Kill | Signal::Continue | Signal::Hangup => Ok(()),
         }
     }
 
