gateway: read the store by the platform's bounds, ask once for a configuration that is not there

Cause: the times at which hosts read, take over and collect changes were fixed for bounds of 2 s; a deployment with tighter ones would break CONFIG or DRAIN, one with 3 s reads more than it needs. Change: settings config_ms and drain_ms; all times are parts of them, the same as before at 2 s. Only the first host in the common order asks for a configuration that is not written yet, the others after 3 s. Tests: reading_keeps_within_the_published_bounds, a_configuration_that_is_not_written_yet_is_asked_for_by_one_host.

--- a/lib/src/coordination/gateway/beliefs.rs
+++ b/lib/src/coordination/gateway/beliefs.rs
@@ -14,24 +14,6 @@
 use crate::state::Moment;
 use crate::state::Server;
 
-/// How often the host reads the configuration that does so for all: a change is in force within this
-/// time and an answer of the store, of the two seconds that hosts have.
-const READ_INTERVAL: Duration = Duration::from_millis(800);
-/// The age of the configuration at which the next host takes over reading.
-const TAKE_OVER: Duration = Duration::from_millis(1_350);
-/// How much later each further host takes over, and how many such steps there are.
-const TAKE_OVER_STEP: Duration = Duration::from_millis(150);
-const READ_STEPS_MAX: usize = 3;
-
-/// How long the watches of the list of servers wait at the first hosts in the common order, and at the
-/// others. A watch that fell silent is noticed after this time or, where it missed a change, by what
-/// the first hosts tell.
-const WATCH_WAITS: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(2)];
-const WATCH_WAIT: Duration = Duration::from_secs(20);
-/// The age of the configuration from which the source counts as having been away: longer than all
-/// hosts need to take over reading.
-const OUTAGE_AGE: Duration = Duration::from_millis(2_300);
-
 /// What became of a configuration that was read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CatalogChange {
@@ -68,7 +50,7 @@
     }
 
     fn verify_freshness(&mut self, sent: Moment) {
-        if self.freshness.age(sent).is_some_and(|age| age > OUTAGE_AGE) {
+        if self.freshness.age(sent).is_some_and(|age| age > self.outage_age()) {
             self.outages += 1;
         }
         self.freshness.verify(sent);
@@ -95,7 +77,8 @@
 
     /// Takes a whole list of servers.
     pub fn replace_servers(&mut self, listed: Vec<Server>, had_outage: bool, now: Moment) {
-        self.servers.replace(listed, had_outage, now);
+        let grace = self.relist_grace();
+        self.servers.replace(listed, had_outage.then_some(grace), now);
         self.forget_gone_servers();
     }
 
@@ -156,28 +139,6 @@
         self.peers.hear(now, heard)
     }
 
-    /// Returns in how long the configuration is to be read from its source.
-    ///
-    /// One host reads often and vouches for the version; the others take over in turn when they
-    /// were not told for a while, and read at once when a peer has a newer version.
-    pub fn catalog_read_in(&self, now: Moment) -> Duration {
-        let Some(catalog) = &self.catalog else { return Duration::ZERO };
-        if self.peers.newest_version(now) > catalog.version() {
-            return Duration::ZERO;
-        }
-        let rank = self.peers.rank(now).min(READ_STEPS_MAX);
-        let limit = match rank {
-            0 => READ_INTERVAL,
-            rank => TAKE_OVER + TAKE_OVER_STEP * (rank as u32 - 1),
-        };
-        self.freshness.age(now).map_or(Duration::ZERO, |age| limit.saturating_sub(age))
-    }
-
-    /// Returns how long a watch of the list of servers may wait.
-    pub fn watch_wait(&self, now: Moment) -> Duration {
-        WATCH_WAITS.get(self.peers.rank(now)).copied().unwrap_or(WATCH_WAIT)
-    }
-
     /// Returns whether a peer knows of a change of the list of servers that has not come here.
     pub fn misses_server_change(&self, now: Moment) -> bool {
         self.peers.newest_change(now) > self.servers_covered
--- a/lib/src/coordination/gateway/mod.rs
+++ b/lib/src/coordination/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod peers;
 pub(crate) mod place;
 pub(crate) mod queue;
+pub(crate) mod read_schedule;
 pub(crate) mod refusal;
 pub(crate) mod request;
 pub(crate) mod resend;
@@ -50,6 +51,10 @@
     pub zone: ZoneName,
     /// The time after which a revoked key must be refused everywhere.
     pub revoke: Duration,
+    /// The time within which a change of the configuration must be in force.
+    pub config: Duration,
+    /// The time after which a server that leaves must get no more requests.
+    pub drain: Duration,
     /// The bounds of repeated sends.
     pub budget: BudgetBounds,
 }
@@ -62,6 +67,8 @@
     freshness: Freshness,
     /// The outages of the source that were over so far.
     outages: u64,
+    /// When a read that found no configuration was sent.
+    found_none: Option<Moment>,
     servers: ServerList,
     board: LoadBoard,
     health: HashMap<ServerId, ServerHealth>,
@@ -88,6 +95,7 @@
             bounds,
             catalog: None,
             outages: 0,
+            found_none: None,
             servers: ServerList::default(),
             board: LoadBoard::default(),
             health: HashMap::new(),
--- a/lib/src/coordination/gateway/peers.rs
+++ b/lib/src/coordination/gateway/peers.rs
@@ -286,6 +286,11 @@
         self.live(now).map(|peer| peer.servers_change).max().unwrap_or(0)
     }
 
+    /// Returns whether no live peer comes before this host in the order that all hosts share.
+    pub(crate) fn is_first(&self, now: Moment) -> bool {
+        !self.live(now).any(|peer| peer.incarnation < self.incarnation)
+    }
+
     /// Returns how many live peers that can read the store come before this host, in an order that
     /// all hosts share.
     pub(crate) fn rank(&self, now: Moment) -> usize {
--- a/lib/src/coordination/gateway/servers.rs
+++ b/lib/src/coordination/gateway/servers.rs
@@ -9,10 +9,6 @@
 use crate::state::ServerId;
 use crate::state::ServiceName;
 
-/// How long a server that is missing from the list after an outage of the store may stay in use.
-/// Servers that live are listed again within two seconds of the store's return.
-const RELIST_GRACE: Duration = Duration::from_millis(1_700);
-
 /// A change of the list of servers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ServerChange {
@@ -26,6 +22,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ServerList {
     servers: BTreeMap<String, Server>,
+    /// Until when servers may stay in use that are missing from the list.
     missing: HashMap<String, Moment>,
 }
 
@@ -45,9 +42,9 @@
         }
     }
 
-    /// Replaces the whole list. After an outage of the store, `had_outage`, servers that are not in
-    /// it stay for a while, since entries that lapsed meanwhile come back.
-    pub fn replace(&mut self, listed: Vec<Server>, had_outage: bool, now: Moment) {
+    /// Replaces the whole list. After an outage of the store, servers that are not in it stay for
+    /// `grace`, since entries that lapsed meanwhile come back.
+    pub fn replace(&mut self, listed: Vec<Server>, grace: Option<Duration>, now: Moment) {
         let mut servers: BTreeMap<String, Server> =
             listed.into_iter().map(|server| (server.id.id.to_string(), server)).collect();
         self.missing.retain(|id, _| !servers.contains_key(id));
@@ -55,13 +52,13 @@
             if servers.contains_key(&id) {
                 continue;
             }
-            let since = match self.missing.get(&id) {
-                Some(since) => *since,
-                None if had_outage => now,
-                None => continue,
+            let until = match (self.missing.get(&id), grace) {
+                (Some(until), _) => *until,
+                (None, Some(grace)) => now + grace,
+                (None, None) => continue,
             };
-            if now.since(since) < RELIST_GRACE {
-                self.missing.insert(id.clone(), since);
+            if now < until {
+                self.missing.insert(id.clone(), until);
                 servers.insert(id, server);
             }
         }
@@ -72,9 +69,9 @@
     /// Removes the servers that did not come back to the list in time; returns their number.
     pub fn drop_missing(&mut self, now: Moment) -> usize {
         let before = self.servers.len();
-        let is_over = |since: &Moment| now.since(*since) >= RELIST_GRACE;
+        let is_over = |until: &Moment| now >= *until;
         self.servers.retain(|id, _| !self.missing.get(id).is_some_and(is_over));
-        self.missing.retain(|_, since| !is_over(since));
+        self.missing.retain(|_, until| !is_over(until));
         before - self.servers.len()
     }
 
--- a/lib/src/protocol/gateway/settings.rs
+++ b/lib/src/protocol/gateway/settings.rs
@@ -45,6 +45,10 @@
     pub grace_s: f64,
     /// The time after which a revoked key must be refused, in milliseconds.
     pub revoke_ms: f64,
+    /// The time within which a change of the configuration must be in force, in milliseconds.
+    pub config_ms: f64,
+    /// The time after which a server that leaves must get no more requests, in milliseconds.
+    pub drain_ms: f64,
     /// Repeated sends for each request.
     pub repeat_ratio: f64,
     /// Repeated sends that are allowed whatever the number of requests.
@@ -153,6 +157,8 @@
         let spans = [
             ("grace_s", self.grace_s),
             ("revoke_ms", self.revoke_ms / 1_000.0),
+            ("config_ms", self.config_ms / 1_000.0),
+            ("drain_ms", self.drain_ms / 1_000.0),
             ("repeat_window_s", self.repeat_window_s),
         ];
         for (field, seconds) in spans {
@@ -175,6 +181,8 @@
         GatewayBounds {
             zone: ZoneName::new(self.zone.as_str()),
             revoke: Duration::from_secs_f64(self.revoke_ms / 1_000.0),
+            config: Duration::from_secs_f64(self.config_ms / 1_000.0),
+            drain: Duration::from_secs_f64(self.drain_ms / 1_000.0),
             budget: BudgetBounds {
                 ratio: self.repeat_ratio,
                 slack: self.repeat_slack,
--- a/lib/src/transport/gateway/context.rs
+++ b/lib/src/transport/gateway/context.rs
@@ -64,6 +64,10 @@
         self.gateway.borrow().catalog_read_in(self.now())
     }
 
+    fn drain_bound(&self) -> Duration {
+        self.gateway.borrow().drain_bound()
+    }
+
     fn watch_wait(&self) -> Duration {
         self.gateway.borrow().watch_wait(self.now())
     }
--- a/lib/src/transport/gateway/fleet_source.rs
+++ b/lib/src/transport/gateway/fleet_source.rs
@@ -32,6 +32,8 @@
         /// When the read was sent.
         sent: Moment,
     },
+    /// A read sent at this time found no configuration.
+    NoCatalog(Moment),
     /// A configuration that cannot be used, and why.
     CatalogRejected(String),
     /// The whole list of servers.
@@ -77,6 +79,9 @@
     /// Returns in how long the configuration is to be read.
     fn catalog_read_in(&self) -> Duration;
 
+    /// Returns how soon a server must get no more requests after the list said that it leaves.
+    fn drain_bound(&self) -> Duration;
+
     /// Returns how long a watch of the list of servers may wait.
     fn watch_wait(&self) -> Duration;
 
--- a/lib/src/transport/gateway/process.rs
+++ b/lib/src/transport/gateway/process.rs
@@ -288,6 +288,7 @@
             // Peers rely on this host's word.
             ctx.load_changed.notify_one();
         }
+        FleetUpdate::NoCatalog(sent) => gateway.find_no_catalog(sent),
         FleetUpdate::CatalogRejected(fault) => {
             warn!(log, "configuration rejected"; "fault" => fault);
         }
--- a/lib/tests/gateways/mod.rs
+++ b/lib/tests/gateways/mod.rs
@@ -83,6 +83,8 @@
     GatewayBounds {
         zone: ZoneName::new("zone-a"),
         revoke: REVOKE,
+        config: ms(2_000),
+        drain: ms(2_000),
         budget: BudgetBounds { ratio: 0.2, slack: 104.0, window: Duration::from_secs(10) },
     }
 }
--- a/lib/tests/test_gateway_beliefs.rs
+++ b/lib/tests/test_gateway_beliefs.rs
@@ -5,6 +5,8 @@
 use std::net::Ipv4Addr;
 
 use gateways::*;
+use std::time::Duration;
+
 use test_case::test_case;
 use wasabicrank_lib::coordination::*;
 use wasabicrank_lib::protocol::decode_summary;
@@ -97,6 +99,47 @@
     assert!(hosts[3].catalog_read_in(at(3_000)).is_zero());
 }
 
+struct NoCatalog {
+    has_first_peer: bool,
+    peer_has_one: bool,
+    least: u64,
+    most: u64,
+}
+
+#[test_case(NoCatalog { has_first_peer: false, peer_has_one: false, least: 300, most: 500 } ; "the first host asks often")]
+#[test_case(NoCatalog { has_first_peer: true, peer_has_one: false, least: 2_000, most: 4_000 } ; "the others rely on it")]
+#[test_case(NoCatalog { has_first_peer: true, peer_has_one: true, least: 0, most: 0 } ; "and read at once when it has one")]
+fn a_configuration_that_is_not_written_yet_is_asked_for_by_one_host(case: NoCatalog) {
+    let mut host = empty_gateway(5);
+    assert!(host.catalog_read_in(at(0)).is_zero());
+    host.find_no_catalog(at(0));
+    if case.has_first_peer {
+        let mut peer = if case.peer_has_one { gateway(1) } else { empty_gateway(1) };
+        tell(&mut peer, 1, &mut host, at(1));
+    }
+    let wait = host.catalog_read_in(at(1));
+    assert!(wait >= ms(case.least) && wait <= ms(case.most), "{wait:?}");
+}
+
+struct Bounds {
+    config: u64,
+    drain: u64,
+}
+
+#[test_case(Bounds { config: 2_000, drain: 2_000 } ; "today's bounds")]
+#[test_case(Bounds { config: 3_000, drain: 3_000 } ; "the grown deployments' bounds")]
+#[test_case(Bounds { config: 1_000, drain: 1_500 } ; "tighter bounds")]
+fn reading_keeps_within_the_published_bounds(case: Bounds) {
+    let mut host = gateway(9);
+    let (config, drain) = (ms(case.config), ms(case.drain));
+    host.set_bounds(GatewayBounds { config, drain, ..bounds() });
+    assert!(host.catalog_read_in(at(0)) < config / 2, "the host that reads for all");
+    assert!(host.watch_wait(at(0)) < drain, "the host that watches for all");
+    tell(&mut gateway(1), 1, &mut host, at(0));
+    let takes_over = host.catalog_read_in(at(0));
+    assert!(takes_over < config.mul_f64(0.85), "the next one takes over in {takes_over:?}");
+}
+
 struct Outage {
     /// The times, in milliseconds, at which reads or a peer's word showed the configuration newest.
     verified: &'static [u64],
@@ -154,6 +197,9 @@
     assert_eq!(host.is_ready(at(now)), case.is_ready);
 }
 
+/// How long a server that lapsed may stay in use.
+const RELIST: Duration = Duration::from_millis(1_700);
+
 struct Relisted {
     had_outage: bool,
     after: u64,
@@ -167,7 +213,7 @@
     let mut list = ServerList::default();
     list.apply(ServerChange::Listed(server("p-1", "plain", 1)));
     list.apply(ServerChange::Listed(server("p-2", "plain", 2)));
-    list.replace(vec![server("p-2", "plain", 2)], case.had_outage, at(0));
+    list.replace(vec![server("p-2", "plain", 2)], case.had_outage.then_some(RELIST), at(0));
     list.drop_missing(at(case.after));
     let is_kept = list.of_service(&ServiceName::new("plain")).len() == 2;
     assert_eq!(is_kept, case.is_kept);
@@ -177,8 +223,8 @@
 fn a_second_list_does_not_give_missing_servers_more_time() {
     let mut list = ServerList::default();
     list.apply(ServerChange::Listed(server("p-1", "plain", 1)));
-    list.replace(Vec::new(), true, at(0));
-    list.replace(Vec::new(), true, at(1_500));
+    list.replace(Vec::new(), Some(RELIST), at(0));
+    list.replace(Vec::new(), Some(RELIST), at(1_500));
     list.drop_missing(at(1_800));
     assert!(list.is_empty());
 }
--- a/lib/tests/test_gateway_logs.rs
+++ b/lib/tests/test_gateway_logs.rs
@@ -34,7 +34,7 @@
 
 const SETTINGS: &str = r#"{"host":"h","zone":"z","callers":"10.0.0.1:80","health":"10.0.0.1:81",
     "peer_port":7000,"seeds":["10.0.0.2:82"],"metrics_port":9464,"store":"10.0.0.9:80",
-    "memory_mb":390,"descriptors":6150,"grace_s":8,"revoke_ms":5000,"repeat_ratio":0.2,
+    "memory_mb":390,"descriptors":6150,"grace_s":8,"revoke_ms":5000,"config_ms":2000,"drain_ms":2000,"repeat_ratio":0.2,
     "repeat_slack":104,"repeat_window_s":10}"#;
 
 struct Setting {
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -9,6 +9,8 @@
 use crate::evidence::Scope;
 use crate::evidence::Seen;
 use crate::evidence::Sent;
+use crate::fleet::CONFIG_MS;
+use crate::fleet::DRAIN_MS;
 use crate::fleet::REPEAT_RATIO;
 use crate::fleet::REPEAT_SLACK;
 use crate::fleet::REPEAT_WINDOW_MS;
@@ -16,10 +18,6 @@
 
 /// How long after a disturbance hosts are held to bounds of time again.
 const STABLE_MS: Millis = 3_000;
-/// The bound for servers that leave, and what a request may take on its way.
-const DRAIN_MS: Millis = 2_000;
-/// The bound for a change of the configuration.
-const CONFIG_MS: Millis = 2_000;
 /// How late after its time a final answer may come.
 const FINAL_MS: Millis = 500;
 /// How late a request that was sent in time may be seen here, on a machine with few cores.
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -28,6 +28,8 @@
 /// The platform's bounds that hosts are told, and that the checks hold them to.
 pub(crate) const GRACE: Duration = Duration::from_secs(8);
 pub(crate) const REVOKE_MS: u64 = 5_000;
+pub(crate) const CONFIG_MS: u64 = 2_000;
+pub(crate) const DRAIN_MS: u64 = 2_000;
 pub(crate) const REPEAT_RATIO: f64 = 0.2;
 pub(crate) const REPEAT_SLACK: f64 = 40.0;
 pub(crate) const REPEAT_WINDOW_MS: u64 = 10_000;
@@ -81,7 +83,7 @@
             "callers": callers.to_string(), "health": health.to_string(), "peer_port": PEER_PORT,
             "seeds": seeds, "metrics_port": METRICS_PORT, "store": store.addr().to_string(),
             "memory_mb": 390, "descriptors": 2_000, "grace_s": GRACE.as_secs_f64(),
-            "revoke_ms": REVOKE_MS, "repeat_ratio": REPEAT_RATIO, "repeat_slack": REPEAT_SLACK,
+            "revoke_ms": REVOKE_MS, "config_ms": CONFIG_MS, "drain_ms": DRAIN_MS, "repeat_ratio": REPEAT_RATIO, "repeat_slack": REPEAT_SLACK,
             "repeat_window_s": REPEAT_WINDOW_MS / 1_000,
         });
         Ok(Host {
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -78,15 +78,17 @@
     let host = random.random_range(0..hosts);
     let server = random.random_range(0..servers);
     let span = Duration::from_millis(random.random_range(300..5_000));
+    // Longer than a host may serve by a configuration that it could not verify.
+    let store_span = Duration::from_millis(random.random_range(300..9_000));
     match random.random_range(0..20) {
         0 | 1 => Fault::Kill { host },
         2 | 3 => Fault::Pause { host, span },
         4 | 5 => Fault::Stop { host },
         6 => Fault::Reload { host },
         7 => Fault::CallerLink { host, link: draw_link(random), span },
-        8 => Fault::StoreLink { host, link: draw_link(random), span },
-        9 => Fault::StoreAway { link: draw_link(random), span },
-        10 => Fault::StoreBusy { span },
+        8 => Fault::StoreLink { host, link: draw_link(random), span: store_span },
+        9 => Fault::StoreAway { link: draw_link(random), span: store_span },
+        10 => Fault::StoreBusy { span: store_span },
         11 => Fault::Compact,
         12 | 13 => Fault::ServerLink { server, link: draw_link(random), span },
         14 => Fault::ServerManner { server, manner: draw_manner(random), span },
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -42,7 +42,7 @@
 const CUSTOMERS: usize = 4;
 const KEYS_EACH: usize = 12;
 /// One request in so many is sent with a key that was taken away.
-const REVOKED_KEY: u32 = 12;
+const REVOKED_KEY: u32 = 6;
 /// One request in so many is sent on a new connection though the open one is good.
 const MOVES: u32 = 30;
 /// The servers of each service.
--- a/workload/src/gateway/fleet.rs
+++ b/workload/src/gateway/fleet.rs
@@ -58,6 +58,8 @@
     let bounds = GatewayBounds {
         zone: zone(host),
         revoke: Duration::from_secs(100_000),
+        config: Duration::from_secs(2),
+        drain: Duration::from_secs(2),
         budget: BudgetBounds { ratio: 0.2, slack: 104.0, window: Duration::from_secs(10) },
     };
     let mut gateway = Gateway::new(bounds, load.seed.wrapping_mul(1_000) + host as u64 + 1);
