--- a/lib/src/transport/logging.rs
+++ b/lib/src/transport/logging.rs
@@ -13,7 +13,7 @@
 use crate::protocol::LogSettings;
 
 /// How many log lines may wait for a slow reader; more are dropped and counted in the log.
-const LOG_RING: usize = 4096;
+const LOG_RING: usize = 1024;
 
 /// Makes a logger that writes to standard error from a thread of its own.
 ///
