--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod checks;
 mod evidence;
+mod faults;
 mod fleet;
 mod http_server;
 mod schedule;
