--- a/soak/src/evidence.rs
+++ b/soak/src/evidence.rs
@@ -58,7 +58,11 @@
 
     /// Returns how long callers wait, which is also the route's time.
     pub(crate) fn patience(self) -> Duration {
-        if self.is_stream() { Duration::from_secs(6) } else { Duration::from_millis(1_500) }
+        match self {
+            Kind::LongStream => Duration::from_secs(12),
+            Kind::Stream | Kind::SingleStream => Duration::from_secs(6),
+            Kind::Once | Kind::Often => Duration::from_millis(1_500),
+        }
     }
 }
 
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -20,7 +20,7 @@
 use crate::world::World;
 
 /// How long a server that leaves goes on serving after its entry said so.
-const LEAVING: Duration = Duration::from_millis(3_000);
+const LEAVING: Duration = Duration::from_millis(6_000);
 /// How long the entry of a silent server stays.
 const ENTRY_LIFE: Duration = Duration::from_millis(3_600);
 /// The pause of a planned restart, and the longest after a kill.
@@ -155,6 +155,12 @@
         if span > ENTRY_LIFE {
             self.unlist(&server);
             sleep(span - ENTRY_LIFE).await;
+        }
+        // A server that was told to leave meanwhile does not come back.
+        if self.evidence.seen().left.contains_key(&server.state.id) {
+            return Ok(());
+        }
+        if span > ENTRY_LIFE {
             self.list(&server, false);
         }
         server.relay.listen().await
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Mutex;
@@ -75,6 +76,8 @@
         let own = address(index);
         let callers = SocketAddr::from((own, CALLER_PORT));
         let health = SocketAddr::from((own, HEALTH_PORT));
+        // Fails where another soak has hosts at these addresses; their callers would mix.
+        drop(TcpListener::bind(callers)?);
         let store = Relay::start(store).await?;
         let seeds: Vec<String> =
             (0..hosts.min(3)).map(|host| format!("{}:8229", address(host))).collect();
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -13,8 +13,12 @@
 use wasabicrank_soak::SoakSetup;
 use wasabicrank_soak::run;
 
-/// The second numbers of loopback addresses that soaks use begin here.
-const FIRST_NET: u8 = 70;
+/// The second numbers of loopback addresses that soaks use: the first one, and how many. Programs that
+/// run at the same time mostly have different ones; one that meets another's hosts does not start.
+const FIRST_NET: u8 = 64;
+const NETS: u32 = 60;
+/// The third numbers that the seeds of one program take in turn.
+const SEED_NETS: u64 = 250;
 
 /// Run entry hosts as processes under random faults, and check what callers and servers see.
 #[derive(FromArgs)]
@@ -56,7 +60,7 @@
             span: Duration::from_secs(arguments.seconds),
             hosts: arguments.hosts,
             callers: arguments.callers,
-            net: [FIRST_NET + (seed % at_once) as u8, (seed / at_once % 250) as u8],
+            net: [FIRST_NET + (std::process::id() % NETS) as u8, (seed % SEED_NETS) as u8],
         };
         async move { (seed, run(&setup).await) }
     });
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -46,21 +46,30 @@
 }
 
 /// The longest pause between two faults.
-const LONGEST_PAUSE_MS: u64 = 900;
+const LONGEST_PAUSE_MS: u64 = 1_500;
 /// One fault in so many is followed by the same kind for other targets at once.
 const SERIES: u32 = 4;
 
-/// Draws the faults of `span` for so many hosts and servers, with when each begins.
+/// The kinds of faults, some of them twice as often.
+const KINDS: u32 = 20;
+
+/// Draws the faults of `span` for so many hosts and servers, with when each begins. A seed has about half
+/// of all kinds, so that promises that need a calm host or store are pressed as well.
 pub(crate) fn draw(
     random: &mut SmallRng,
     span: Duration,
     hosts: usize,
     servers: usize,
 ) -> Vec<(Duration, Fault)> {
+    let mut kinds: Vec<u32> = (0..KINDS).filter(|_| random.random()).collect();
+    if kinds.is_empty() {
+        kinds.extend(0..KINDS);
+    }
     let mut faults = Vec::new();
     let mut at = Duration::from_millis(500);
     while at < span {
-        let fault = draw_fault(random, hosts, servers);
+        let kind = kinds[random.random_range(0..kinds.len())];
+        let fault = draw_fault(random, kind, hosts, servers);
         faults.push((at, fault));
         if random.random_range(0..SERIES) == 0 {
             for step in 1..=random.random_range(1..=2_u32) {
@@ -74,13 +83,13 @@
     faults
 }
 
-fn draw_fault(random: &mut SmallRng, hosts: usize, servers: usize) -> Fault {
+fn draw_fault(random: &mut SmallRng, kind: u32, hosts: usize, servers: usize) -> Fault {
     let host = random.random_range(0..hosts);
     let server = random.random_range(0..servers);
     let span = Duration::from_millis(random.random_range(300..5_000));
     // Longer than a host may serve by a configuration that it could not verify.
     let store_span = Duration::from_millis(random.random_range(300..9_000));
-    match random.random_range(0..20) {
+    match kind {
         0 | 1 => Fault::Kill { host },
         2 | 3 => Fault::Pause { host, span },
         4 | 5 => Fault::Stop { host },
--- a/soak/src/server.rs
+++ b/soak/src/server.rs
@@ -127,8 +127,11 @@
 
     /// Returns the server's entry in the store.
     pub(crate) fn entry(&self, is_draining: bool) -> Value {
+        // Hosts prefer the engines of their zone, and the first ones among these.
+        let zone =
+            if self.state.id.ends_with(['0', '2', '4', '6', '8']) { "zone-a" } else { "zone-b" };
         json!({
-            "service": self.state.service, "address": self.relay.addr().to_string(), "zone": "zone-a",
+            "service": self.state.service, "address": self.relay.addr().to_string(), "zone": zone,
             "slots": SLOTS, "state": if is_draining { "draining" } else { "ready" }, "born": 1,
         })
     }
