gateway: log how a server's stream ended and why a request was not placed again

An incident's log line 'send failed result=cut next=PlaceAgain' stood for a silent server, a reset, a truncated body, malformed events and a missing event alike, and nothing said what placement answered when the stream was to go on elsewhere. A refusal of a request that may have run was only 'answer_lost'.

'stream fault' now names the fault, the pause since the last event and the time that is left; 'no successor' names placement's reason; 'request ended' has it as 'cause'; stream_faults_total{fault} counts the faults. Refusals by price are 'too_costly', apart from 'overload'. No decision changes.

The test of a decline after a lost send also checks the cause now; its old comparison of the whole refusal would not have known the new field.

--- a/lib/src/coordination/gateway/placement.rs
+++ b/lib/src/coordination/gateway/placement.rs
@@ -222,7 +222,7 @@
             }
             ChoiceOutcome::TooCostly => {
                 let refusal =
-                    GatewayRefusal::retry_after(RefusalReason::Overload, COSTLY_RETRY_AFTER);
+                    GatewayRefusal::retry_after(RefusalReason::TooCostly, COSTLY_RETRY_AFTER);
                 self.refuse(request, lost_if_may_have_run(request, refusal))
             }
             ChoiceOutcome::TooLarge => {
@@ -433,5 +433,5 @@
     request: &GatewayRequest,
     refusal: GatewayRefusal,
 ) -> GatewayRefusal {
-    if request.may_have_run() { GatewayRefusal::new(RefusalReason::AnswerLost) } else { refusal }
+    if request.may_have_run() { refusal.without_promise() } else { refusal }
 }
--- a/lib/src/coordination/gateway/refusal.rs
+++ b/lib/src/coordination/gateway/refusal.rs
@@ -30,9 +30,10 @@
     PromptTooLarge,
     /// Engine memory could not be reserved.
     NoMemory,
-    /// No server can start before the caller abandons the request, or its value is too low under
-    /// the current load.
+    /// No server can start before the caller abandons the request.
     Overload,
+    /// Its value is too low under the current load.
+    TooCostly,
     /// The deadline passed while the request waited at this host.
     WaitedTooLong,
     /// The servers that it was sent to declined to run it.
@@ -67,6 +68,7 @@
             RefusalReason::PromptTooLarge => "prompt_too_large",
             RefusalReason::NoMemory => "no_memory",
             RefusalReason::Overload => "overload",
+            RefusalReason::TooCostly => "too_costly",
             RefusalReason::WaitedTooLong => "waited_too_long",
             RefusalReason::Declined => "declined",
             RefusalReason::Unreachable => "unreachable",
@@ -93,6 +95,7 @@
             | RefusalReason::PromptTooLarge
             | RefusalReason::NoMemory
             | RefusalReason::Overload
+            | RefusalReason::TooCostly
             | RefusalReason::WaitedTooLong
             | RefusalReason::Declined
             | RefusalReason::Unreachable => 503,
@@ -112,17 +115,28 @@
     pub reason: RefusalReason,
     /// When the caller may retry; only set if the request has not run.
     pub retry_after: Option<Duration>,
+    /// Why the request was not placed again, if a server may have run it and `reason` says only that.
+    pub cause: Option<RefusalReason>,
 }
 
 impl GatewayRefusal {
     /// Creates a refusal without a retry delay.
     pub fn new(reason: RefusalReason) -> GatewayRefusal {
-        GatewayRefusal { reason, retry_after: None }
+        GatewayRefusal { reason, retry_after: None, cause: None }
     }
 
     /// Creates a refusal after which the caller may retry after `after`.
     pub fn retry_after(reason: RefusalReason, after: Duration) -> GatewayRefusal {
-        GatewayRefusal { reason, retry_after: Some(after) }
+        GatewayRefusal { reason, retry_after: Some(after), cause: None }
+    }
+
+    /// Returns this refusal without its promise that the request has not run.
+    pub(crate) fn without_promise(self) -> GatewayRefusal {
+        GatewayRefusal {
+            reason: RefusalReason::AnswerLost,
+            retry_after: None,
+            cause: Some(self.cause.unwrap_or(self.reason)),
+        }
     }
 }
 
@@ -133,6 +147,7 @@
         f.debug_struct("GatewayRefusal")
             .field("reason", &self.reason)
             .field("come_back", &self.retry_after)
+            .field("cause", &self.cause)
             .finish()
     }
 }
--- a/lib/src/transport/gateway/event_relay.rs
+++ b/lib/src/transport/gateway/event_relay.rs
@@ -27,13 +27,29 @@
 /// How many of the route's longest allowed gaps between events a stream may be silent for.
 const SILENCE_TIMEOUT_GAPS: u32 = 3;
 
-/// Why a server's stream has no next event.
+/// How a server's stream ended before it was complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum StreamEnd {
-    /// The stream is complete.
-    Complete,
-    /// The connection failed, the events are malformed, or an event number is missing.
-    Broken,
+pub(crate) enum StreamFault {
+    /// The connection failed.
+    Reset,
+    /// The body ended within an event, or before the first one.
+    Truncated,
+    /// The bytes are not events.
+    Malformed,
+    /// An event number was skipped.
+    MissingEvent,
+}
+
+impl StreamFault {
+    /// Returns the fault's name in logs and metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            StreamFault::Reset => "reset",
+            StreamFault::Truncated => "truncated",
+            StreamFault::Malformed => "malformed",
+            StreamFault::MissingEvent => "missing_event",
+        }
+    }
 }
 
 /// The events of one server's response.
@@ -51,41 +67,41 @@
     }
 
     /// Waits until the first event is complete.
-    pub(crate) async fn wait_first(&mut self) -> Result<(), StreamEnd> {
-        self.first = Some(self.read().await?);
+    pub(crate) async fn wait_first(&mut self) -> Result<(), StreamFault> {
+        self.first = Some(self.read().await?.ok_or(StreamFault::Truncated)?);
         Ok(())
     }
 
-    /// Returns the next event; cancel-safe.
-    async fn next(&mut self) -> Result<StreamEvent, StreamEnd> {
+    /// Returns the next event, or `None` after the last one; cancel-safe.
+    async fn next(&mut self) -> Result<Option<StreamEvent>, StreamFault> {
         match self.first.take() {
-            Some(event) => Ok(event),
+            Some(event) => Ok(Some(event)),
             None => self.read().await,
         }
     }
 
-    async fn read(&mut self) -> Result<StreamEvent, StreamEnd> {
+    async fn read(&mut self) -> Result<Option<StreamEvent>, StreamFault> {
         loop {
             while let Some(event) = self.splitter.next_event() {
                 if self.is_next(&event)? {
-                    return Ok(event);
+                    return Ok(Some(event));
                 }
             }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
-                    self.splitter.push(&data).map_err(|_| StreamEnd::Broken)?;
+                    self.splitter.push(&data).map_err(|_| StreamFault::Malformed)?;
                 }
-                Some(Err(_)) => return Err(StreamEnd::Broken),
-                None if self.splitter.is_empty() => return Err(StreamEnd::Complete),
-                None => return Err(StreamEnd::Broken),
+                Some(Err(_)) => return Err(StreamFault::Reset),
+                None if self.splitter.is_empty() => return Ok(None),
+                None => return Err(StreamFault::Truncated),
             }
         }
     }
 
     /// Returns whether `event` is the next one: `false` for an event that the caller already has, and
     /// an error for an event after a gap.
-    fn is_next(&mut self, event: &StreamEvent) -> Result<bool, StreamEnd> {
+    fn is_next(&mut self, event: &StreamEvent) -> Result<bool, StreamFault> {
         let (Some(id), Some(last)) = (event.id, self.last) else {
             self.last = event.id.or(self.last);
             return Ok(true);
@@ -94,7 +110,7 @@
             return Ok(false);
         }
         if id > last + 1 {
-            return Err(StreamEnd::Broken);
+            return Err(StreamFault::MissingEvent);
         }
         self.last = Some(id);
         Ok(true)
@@ -162,17 +178,22 @@
     loop {
         let left = exchange.request.deadline.since(exchange.ctx.now());
         let event = match timeout(silence.min(left), relay.next()).await {
-            Ok(Ok(event)) => event,
-            Ok(Err(StreamEnd::Complete)) => return ServerStreamEnd::Complete,
-            Ok(Err(StreamEnd::Broken)) => return ServerStreamEnd::Broken,
+            Ok(Ok(Some(event))) => event,
+            Ok(Ok(None)) => return ServerStreamEnd::Complete,
+            Ok(Err(fault)) => {
+                exchange.record_fault(&send.dispatch, fault, last);
+                return ServerStreamEnd::Broken;
+            }
             Err(_) if left <= silence => return ServerStreamEnd::OutOfTime,
             Err(_) => {
                 let now = exchange.ctx.now();
                 let mut gateway = exchange.ctx.gateway.borrow_mut();
-                if gateway.can_resume_elsewhere(now, &exchange.request) {
-                    return ServerStreamEnd::Broken;
+                if !gateway.can_resume_elsewhere(now, &exchange.request) {
+                    continue;
                 }
-                continue;
+                drop(gateway);
+                exchange.record_silence(&send.dispatch, last);
+                return ServerStreamEnd::Broken;
             }
         };
         let now = exchange.ctx.now();
@@ -204,7 +225,13 @@
             NextStep::Refuse(_) | NextStep::RelayFailure | NextStep::CutAnswer => return None,
         }
         exchange.request.abandon_at = patience;
-        let next = exchange.place().await.ok()?;
+        let next = match exchange.place().await {
+            Ok(next) => next,
+            Err(refusal) => {
+                exchange.record_no_successor(refusal);
+                return None;
+            }
+        };
         match exchange.send(next).await {
             (SendOutcome::Stream(start), _) => return Some(*start),
             (SendOutcome::Failure(SendResult::Unreached, _), sent_to) => {
--- a/lib/src/transport/gateway/exchange.rs
+++ b/lib/src/transport/gateway/exchange.rs
@@ -392,11 +392,15 @@
         body: Incoming,
     ) -> SendOutcome {
         let limit = active.dispatch.silence_deadline;
+        let sent = self.ctx.now();
         let mut relay = EventRelay::new(body, self.request.last_event);
-        let time = limit.since(self.ctx.now());
+        let time = limit.since(sent);
         match timeout(time, relay.wait_first()).await {
             Ok(Ok(())) => {}
-            Ok(Err(_)) => return SendOutcome::Failure(SendResult::Lost, None),
+            Ok(Err(fault)) => {
+                self.record_fault(&active.dispatch, fault, sent);
+                return SendOutcome::Failure(SendResult::Lost, None);
+            }
             Err(_) => return SendOutcome::Failure(self.silence_result(limit), None),
         }
         let now = self.ctx.now();
@@ -409,7 +413,7 @@
 
     fn refuse(&mut self, refusal: GatewayRefusal) -> Response<ResponseBody> {
         let name = refusal.reason.name();
-        self.record_end(name, LineKind::Failure, refusal.reason.status(), refusal.retry_after);
+        self.record_end(name, LineKind::Failure, refusal.reason.status(), Some(&refusal));
         refusal_response(&self.ctx, &refusal)
     }
 }
--- a/lib/src/transport/gateway/exchange_log.rs
+++ b/lib/src/transport/gateway/exchange_log.rs
@@ -1,12 +1,11 @@
 //! Logs and metrics of requests.
 
-use std::time::Duration;
-
 use http::Response;
 use http::request;
 use slog::info;
 
 use super::context::GatewayContext;
+use super::event_relay::StreamFault;
 use super::exchange::Exchange;
 use super::response_body::ResponseBody;
 use super::response_head::refusal_response;
@@ -16,6 +15,7 @@
 use crate::coordination::Dispatch;
 use crate::coordination::GatewayRefusal;
 use crate::coordination::NextStep;
+use crate::coordination::RefusalReason;
 use crate::coordination::SendResult;
 use crate::state::Moment;
 use crate::state::RouteKind;
@@ -87,6 +87,40 @@
         }
     }
 
+    /// Logs and counts that a server's stream ended before it was complete; its last event came at
+    /// `last`.
+    pub(crate) fn record_fault(&self, dispatch: &Dispatch, fault: StreamFault, last: Moment) {
+        self.log_stream_fault(dispatch, fault.name(), last);
+    }
+
+    /// Logs and counts that a server has sent nothing since `last`.
+    pub(crate) fn record_silence(&self, dispatch: &Dispatch, last: Moment) {
+        self.log_stream_fault(dispatch, "silent", last);
+    }
+
+    fn log_stream_fault(&self, dispatch: &Dispatch, fault: &'static str, last: Moment) {
+        let now = self.ctx.now();
+        self.ctx.telemetry.count_stream_fault(fault);
+        if let Some(log) = self.ctx.telemetry.limited_log(now, LineKind::Failure) {
+            info!(log, "stream fault"; "request" => &self.request.id,
+                "server" => &*dispatch.server.id.id, "fault" => fault,
+                "pause_ms" => now.since(last).as_millis() as u64,
+                "last_event" => self.request.last_event.unwrap_or(0),
+                "time_left_ms" => self.request.deadline.since(now).as_millis() as u64);
+        }
+    }
+
+    /// Logs why the request is not sent to another server.
+    pub(crate) fn record_no_successor(&self, refusal: GatewayRefusal) {
+        let now = self.ctx.now();
+        if let Some(log) = self.ctx.telemetry.limited_log(now, LineKind::Failure) {
+            info!(log, "no successor"; "request" => &self.request.id,
+                "reason" => refusal.cause.unwrap_or(refusal.reason).name(),
+                "sends" => self.request.sends,
+                "time_left_ms" => self.request.deadline.since(now).as_millis() as u64);
+        }
+    }
+
     pub(crate) fn record_first_event(&self, now: Moment, dispatch: &Dispatch) {
         let time = now.since(self.arrived);
         self.ctx.telemetry.observe_first_event(self.request.size.map(|size| size.prompt), time);
@@ -103,8 +137,10 @@
         outcome: &'static str,
         kind: LineKind,
         status: u16,
-        retry_after: Option<Duration>,
+        refusal: Option<&GatewayRefusal>,
     ) {
+        let retry_after = refusal.and_then(|refusal| refusal.retry_after);
+        let cause = refusal.and_then(|refusal| refusal.cause);
         self.is_finished = true;
         let now = self.ctx.now();
         self.ctx
@@ -118,6 +154,7 @@
                 "unreached" => self.request.unsent_attempts,
                 "prompt" => self.request.size.map_or(0, |size| size.prompt),
                 "last_event" => self.request.last_event.unwrap_or(0),
+                "cause" => cause.map_or("", RefusalReason::name),
                 "pause_ms" => self.longest_pause.as_millis() as u64,
                 "back_ms" => retry_after.map_or(-1, |after| after.as_millis() as i64),
                 "age_ms" => now.since(self.arrived).as_millis() as u64);
--- a/lib/tests/test_gateway_requests.rs
+++ b/lib/tests/test_gateway_requests.rs
@@ -104,7 +104,12 @@
         gateway.record_sent(&mut request);
         let step = gateway.after_send(at(5), &mut request, &dispatch, &result);
         if result != SendResult::Lost {
-            assert_eq!(step, refused(RefusalReason::AnswerLost));
+            let NextStep::Refuse(refusal) = step else { panic!("{step:?}") };
+            let cause = Some(RefusalReason::Declined);
+            assert_eq!(
+                refusal,
+                GatewayRefusal { cause, ..GatewayRefusal::new(RefusalReason::AnswerLost) }
+            );
         }
     }
 }
