gateway: leave a silent server only once another one has answered

Cause: a stream that was silent for 1.5 s was taken from its server when can_resume_elsewhere saw another server, an attempt and budget. placement then decided by more than that: price, queue, deadline, memory of the servers that were not yet tried. When it refused, the server was already left. The class: something held is released on a check that is weaker than the acquisition which is to replace it. The same held before the first part of an answer, and where the second server failed.

Why it works: the silent server's connection stays open and is read on while another server is placed, connected and awaited; whichever sends first goes on. A refusal or failure elsewhere costs nothing, and the search is made again after the next silence. The retry is taken from the budget when it is placed, not before, and no send goes beyond the route's attempts.

--- a/lib/src/coordination/gateway/placement.rs
+++ b/lib/src/coordination/gateway/placement.rs
@@ -81,7 +81,7 @@
     pub time_left: Duration,
     /// The expected time from now to the first part of the response.
     pub expected_delay: Duration,
-    /// When the request is abandoned at this server if no part of a response has arrived.
+    /// When another server is tried as well if no part of a response has arrived.
     pub silence_deadline: Moment,
     /// The urgency stated to the server; 0 is the most urgent.
     pub urgency: Option<u8>,
@@ -375,9 +375,8 @@
         }
     }
 
-    /// Returns whether a stream whose server stopped sending can be resumed by another server. If
-    /// it can't, it stays with its server, since silence alone is no reason to end a response.
-    pub fn can_resume_elsewhere(&mut self, now: Moment, request: &GatewayRequest) -> bool {
+    /// Returns whether `request`, whose server is silent, may be sent to another server as well.
+    pub(crate) fn has_successor(&mut self, now: Moment, request: &GatewayRequest) -> bool {
         let servers = self.servers.of_service(&request.service);
         let has_other = servers
             .iter()
--- a/lib/src/coordination/gateway/retry.rs
+++ b/lib/src/coordination/gateway/retry.rs
@@ -4,6 +4,7 @@
 
 use super::Dispatch;
 use super::Gateway;
+use super::GatewayPlacement;
 use super::GatewayRefusal;
 use super::GatewayRequest;
 use super::RefusalReason;
@@ -72,19 +73,69 @@
         request.unresolved_sends += 1;
     }
 
-    /// Decides the next step after `dispatch` ended with `result`.
-    pub fn after_send(
+    /// Places `request` at one more server while an earlier one that is silent keeps it. A refusal
+    /// means that it stays with that server alone.
+    pub fn place_successor(
+        &mut self,
+        now: Moment,
+        request: &mut GatewayRequest,
+    ) -> GatewayPlacement {
+        if !self.has_successor(now, request) || request.unsent_attempts > MAX_UNSENT_ATTEMPTS {
+            self.leave_queue(request);
+            return GatewayPlacement::Refuse(GatewayRefusal::new(RefusalReason::NoServer));
+        }
+        let placement = self.place(now, request);
+        if let GatewayPlacement::Send(_) = placement {
+            let hosts = self.host_count(now);
+            self.budget(&request.service).take_retry(now, hosts);
+        }
+        placement
+    }
+
+    /// Records the result of a send beside which another one is still under way.
+    pub fn record_result(
         &mut self,
         now: Moment,
         request: &mut GatewayRequest,
         dispatch: &Dispatch,
         result: &SendResult,
-    ) -> NextStep {
+    ) {
         let server = &dispatch.server.id;
         match result {
             SendResult::Unreached => {
                 self.record(now, server, ServerResult::Lost);
                 request.unsent_attempts += 1;
+            }
+            SendResult::NoMemory => {
+                request.unsent_attempts += 1;
+                request.tried.retain(|tried| tried != server);
+            }
+            SendResult::Declined { at_fault, .. } => {
+                self.record_decline(now, request, dispatch, at_fault.as_deref());
+                request.unresolved_sends = request.unresolved_sends.saturating_sub(1);
+            }
+            SendResult::Failed => self.record(now, server, ServerResult::Failed),
+            SendResult::Lost | SendResult::Cut => self.record(now, server, ServerResult::Lost),
+            SendResult::TimedOut => {}
+        }
+    }
+
+    /// Records that a server has been silent for longer than expected.
+    pub fn record_silence(&mut self, now: Moment, dispatch: &Dispatch) {
+        self.record(now, &dispatch.server.id, ServerResult::Lost);
+    }
+
+    /// Decides the next step after `dispatch` ended with `result`.
+    pub fn after_send(
+        &mut self,
+        now: Moment,
+        request: &mut GatewayRequest,
+        dispatch: &Dispatch,
+        result: &SendResult,
+    ) -> NextStep {
+        self.record_result(now, request, dispatch, result);
+        match result {
+            SendResult::Unreached => {
                 if request.unsent_attempts <= MAX_UNSENT_ATTEMPTS && self.has_time(now, request) {
                     return NextStep::PlaceAgain;
                 }
@@ -93,8 +144,6 @@
                 NextStep::Refuse(lost_if_may_have_run(request, refusal))
             }
             SendResult::NoMemory => {
-                request.unsent_attempts += 1;
-                request.tried.retain(|tried| tried != server);
                 if request.unsent_attempts <= MAX_UNSENT_ATTEMPTS && self.has_time(now, request) {
                     return NextStep::PlaceAgain;
                 }
@@ -102,9 +151,7 @@
                     GatewayRefusal::retry_after(RefusalReason::NoMemory, DECLINED_RETRY_AFTER);
                 NextStep::Refuse(lost_if_may_have_run(request, refusal))
             }
-            SendResult::Declined { at_fault, retry_after } => {
-                self.record_decline(now, request, dispatch, at_fault.as_deref());
-                request.unresolved_sends = request.unresolved_sends.saturating_sub(1);
+            SendResult::Declined { retry_after, .. } => {
                 if self.take_retry(now, request) {
                     return NextStep::PlaceAgain;
                 }
@@ -113,21 +160,18 @@
                 NextStep::Refuse(lost_if_may_have_run(request, refusal))
             }
             SendResult::Failed => {
-                self.record(now, server, ServerResult::Failed);
                 if request.is_retryable() && self.take_retry(now, request) {
                     return NextStep::PlaceAgain;
                 }
                 NextStep::RelayFailure
             }
             SendResult::Lost => {
-                self.record(now, server, ServerResult::Lost);
                 if request.is_retryable() && self.take_retry(now, request) {
                     return NextStep::PlaceAgain;
                 }
                 NextStep::Refuse(GatewayRefusal::new(RefusalReason::AnswerLost))
             }
             SendResult::Cut => {
-                self.record(now, server, ServerResult::Lost);
                 if request.is_retryable() && self.take_retry(now, request) {
                     return NextStep::PlaceAgain;
                 }
--- a/lib/src/transport/gateway/event_relay.rs
+++ b/lib/src/transport/gateway/event_relay.rs
@@ -1,6 +1,7 @@
 //! Relays a stream's events as they arrive, and resumes the stream at another server where that is
 //! allowed.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,19 +11,19 @@
 use tokio::time::timeout;
 
 use super::exchange::ActiveSend;
+use super::exchange::Answer;
 use super::exchange::Exchange;
-use super::exchange::SendOutcome;
 use super::exchange::StreamStart;
 use super::response_body::ResponseAborted;
+use super::successor::AfterSilence;
 use super::telemetry::LineKind;
 use crate::coordination::NextStep;
 use crate::coordination::SendResult;
 use crate::protocol::EventSplitter;
 use crate::protocol::StreamEvent;
-use crate::state::Moment;
 
-/// The shortest silence after which a stream is resumed at another server. Callers disconnect after
-/// two seconds.
+/// The shortest silence of a stream after which another server is tried. Callers disconnect after two
+/// seconds.
 const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// How many of the route's longest allowed gaps between events a stream may be silent for.
 const SILENCE_TIMEOUT_GAPS: u32 = 3;
@@ -123,11 +124,13 @@
     Broken,
     OutOfTime,
     CallerLeft,
+    /// Another server continues it.
+    Replaced(Box<StreamStart>),
 }
 
 /// Relays a stream to its end, from several servers if necessary.
 pub(crate) async fn relay_stream(
-    mut exchange: Exchange,
+    exchange: Exchange,
     start: StreamStart,
     chunks: mpsc::Sender<Result<Bytes, ResponseAborted>>,
 ) {
@@ -135,7 +138,7 @@
     let status = head.status.as_u16();
     loop {
         let end = tokio::select! {
-            end = relay_server_part(&mut exchange, &send, &mut relay, &chunks) => end,
+            end = relay_server_part(&exchange, &send, &mut relay, &chunks) => end,
             () = chunks.closed() => ServerStreamEnd::CallerLeft,
         };
         let result = match end {
@@ -147,11 +150,15 @@
                 return;
             }
             ServerStreamEnd::CallerLeft => return,
+            ServerStreamEnd::Replaced(next) => {
+                (send, relay) = (next.send, next.relay);
+                continue;
+            }
             ServerStreamEnd::OutOfTime => SendResult::TimedOut,
             ServerStreamEnd::Broken => SendResult::Cut,
         };
         let next = tokio::select! {
-            next = resume_elsewhere(&mut exchange, send, result) => next,
+            next = resume_elsewhere(&exchange, send, result) => next,
             () = chunks.closed() => return,
         };
         let Some(next) = next else {
@@ -160,48 +167,54 @@
             let _ = chunks.send(Err(ResponseAborted)).await;
             return;
         };
-        send = next.send;
-        relay = next.relay;
+        (send, relay) = (next.send, next.relay);
     }
 }
 
-/// Relays the events of one server.
+/// Relays the events of one server, until its stream ends or another server continues it.
 async fn relay_server_part(
-    exchange: &mut Exchange,
+    exchange: &Exchange,
     send: &ActiveSend,
     relay: &mut EventRelay,
     chunks: &mpsc::Sender<Result<Bytes, ResponseAborted>>,
 ) -> ServerStreamEnd {
-    let pause = exchange.request.route.gap.unwrap_or_default() * SILENCE_TIMEOUT_GAPS;
+    let pause = exchange.request.borrow().route.gap.unwrap_or_default() * SILENCE_TIMEOUT_GAPS;
     let silence = MIN_SILENCE_TIMEOUT.max(pause);
     let mut last = exchange.ctx.now();
     loop {
-        let left = exchange.request.deadline.since(exchange.ctx.now());
-        let event = match timeout(silence.min(left), relay.next()).await {
-            Ok(Ok(Some(event))) => event,
-            Ok(Ok(None)) => return ServerStreamEnd::Complete,
-            Ok(Err(fault)) => {
-                exchange.record_fault(&send.dispatch, fault, last);
-                return ServerStreamEnd::Broken;
-            }
+        let left = exchange.deadline().since(exchange.ctx.now());
+        let mut next = pin!(relay.next());
+        let next = match timeout(silence.min(left), next.as_mut()).await {
+            Ok(next) => next,
             Err(_) if left <= silence => return ServerStreamEnd::OutOfTime,
             Err(_) => {
-                let now = exchange.ctx.now();
-                let mut gateway = exchange.ctx.gateway.borrow_mut();
-                if !gateway.can_resume_elsewhere(now, &exchange.request) {
-                    continue;
-                }
-                drop(gateway);
                 exchange.record_silence(&send.dispatch, last);
+                extend_patience(exchange);
+                match exchange.await_successor(&send.dispatch, next).await {
+                    AfterSilence::Same(next) => next,
+                    AfterSilence::Successor(Answer::Stream(start)) => {
+                        return ServerStreamEnd::Replaced(start);
+                    }
+                    AfterSilence::Successor(Answer::Response(_)) | AfterSilence::StillSilent => {
+                        continue;
+                    }
+                }
+            }
+        };
+        let event = match next {
+            Ok(Some(event)) => event,
+            Ok(None) => return ServerStreamEnd::Complete,
+            Err(fault) => {
+                exchange.record_fault(&send.dispatch, fault, last);
                 return ServerStreamEnd::Broken;
             }
         };
         let now = exchange.ctx.now();
         send.record_progress(now);
-        exchange.longest_pause = exchange.longest_pause.max(now.since(last));
+        exchange.longest_pause.set(exchange.longest_pause.get().max(now.since(last)));
         last = now;
         if event.id.is_some() {
-            exchange.request.last_event = event.id;
+            exchange.request.borrow_mut().last_event = event.id;
         }
         if chunks.send(Ok(event.bytes)).await.is_err() {
             return ServerStreamEnd::CallerLeft;
@@ -209,22 +222,21 @@
     }
 }
 
-/// Resumes the stream at another server; returns `None` if the response must be aborted.
+/// Resumes a broken stream at another server; returns `None` if the response must be aborted.
 async fn resume_elsewhere(
-    exchange: &mut Exchange,
+    exchange: &Exchange,
     send: ActiveSend,
     result: SendResult,
 ) -> Option<StreamStart> {
     let mut dispatch = send.dispatch.clone();
     drop(send);
     let mut result = result;
-    let patience = caller_wait_limit(exchange);
+    extend_patience(exchange);
     loop {
         match exchange.after_send(&dispatch, &result) {
             NextStep::PlaceAgain => {}
             NextStep::Refuse(_) | NextStep::RelayFailure | NextStep::CutAnswer => return None,
         }
-        exchange.request.abandon_at = patience;
         let next = match exchange.place().await {
             Ok(next) => next,
             Err(refusal) => {
@@ -232,24 +244,24 @@
                 return None;
             }
         };
-        match exchange.send(next).await {
-            (SendOutcome::Stream(start), _) => return Some(*start),
-            (SendOutcome::Failure(SendResult::Unreached, _), sent_to) => {
-                dispatch = sent_to;
-                result = SendResult::Unreached;
-            }
-            (SendOutcome::Failure(..), sent_to) => {
-                dispatch = sent_to;
-                result = SendResult::Cut;
+        match exchange.send_until_answered(&next).await {
+            Ok(Answer::Stream(start)) => return Some(*start),
+            Ok(Answer::Response(_)) => return None,
+            Err(failure) => {
+                result = match failure.result {
+                    SendResult::Unreached => SendResult::Unreached,
+                    _ => SendResult::Cut,
+                };
+                dispatch = next;
             }
-            (SendOutcome::Response(_), _) => return None,
         }
     }
 }
 
-/// Returns the time until which the caller is expected to wait for the next event.
-fn caller_wait_limit(exchange: &Exchange) -> Moment {
+/// Sets until when the caller is expected to wait for the next event.
+fn extend_patience(exchange: &Exchange) {
     let now = exchange.ctx.now();
-    (now + MIN_SILENCE_TIMEOUT.max(exchange.request.route.objective * 3))
-        .min(exchange.request.deadline)
+    let mut request = exchange.request.borrow_mut();
+    let patience = MIN_SILENCE_TIMEOUT.max(request.route.objective * 3);
+    request.abandon_at = (now + patience).min(request.deadline);
 }
--- a/lib/src/transport/gateway/exchange.rs
+++ b/lib/src/transport/gateway/exchange.rs
@@ -1,5 +1,7 @@
 //! Handles one request from its head to the last byte of its response.
 
+use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -34,6 +36,7 @@
 use super::upstream::SendError;
 use super::upstream::Upstream;
 use crate::coordination::Dispatch;
+use crate::coordination::Gateway;
 use crate::coordination::GatewayPlacement;
 use crate::coordination::GatewayRefusal;
 use crate::coordination::GatewayRequest;
@@ -92,19 +95,19 @@
         Ok(request) => request,
         Err(refusal) => return early(refusal),
     };
-    let mut exchange = Exchange {
+    let exchange = Exchange {
         ctx,
         head,
         body,
-        request,
+        request: RefCell::new(request),
         arrived,
-        is_finished: false,
-        first_sent: None,
-        longest_pause: Duration::ZERO,
+        is_finished: Cell::new(false),
+        first_sent: Cell::new(None),
+        longest_pause: Cell::new(Duration::ZERO),
     };
     Ok(match exchange.run().await {
-        ExchangeOutcome::Response(response) => response,
-        ExchangeOutcome::Stream(start) => start.start(exchange),
+        Answer::Response(response) => response,
+        Answer::Stream(start) => start.start(exchange),
     })
 }
 
@@ -114,18 +117,19 @@
     pub(crate) ctx: Rc<GatewayContext>,
     head: request::Parts,
     body: BufferedBody,
-    pub(crate) request: GatewayRequest,
+    /// Borrowed for one call at a time, never across an `await`.
+    pub(crate) request: RefCell<GatewayRequest>,
     pub(crate) arrived: Moment,
-    pub(crate) is_finished: bool,
-    pub(crate) first_sent: Option<Moment>,
+    pub(crate) is_finished: Cell<bool>,
+    pub(crate) first_sent: Cell<Option<Moment>>,
     /// The longest pause between two events of the response's stream.
-    pub(crate) longest_pause: Duration,
+    pub(crate) longest_pause: Cell<Duration>,
 }
 
 impl Drop for Exchange {
     fn drop(&mut self) {
-        self.ctx.gateway.borrow_mut().leave_queue(&mut self.request);
-        if !self.is_finished {
+        self.leave_queue();
+        if !self.is_finished.get() {
             self.record_end("caller_left", LineKind::Failure, 0, None);
         }
     }
@@ -158,22 +162,25 @@
     }
 }
 
-/// The result of serving a request, up to the first part of its response.
-enum ExchangeOutcome {
+/// The answer to a request, up to its first part.
+pub(crate) enum Answer {
     /// A complete response.
     Response(Response<ResponseBody>),
     /// A stream, which a task that owns the exchange relays.
     Stream(Box<StreamStart>),
 }
 
-/// The result of sending the request to one server.
-pub(crate) enum SendOutcome {
-    /// The complete response to a request without a stream.
-    Response(Response<ResponseBody>),
-    /// A stream whose first event has arrived.
-    Stream(Box<StreamStart>),
-    /// No usable response, with the server's error response if there is one to relay.
-    Failure(SendResult, Option<Response<ResponseBody>>),
+/// A send without a usable response.
+pub(crate) struct SendFailure {
+    pub(crate) result: SendResult,
+    /// The server's error response, if there is one to relay.
+    response: Option<Response<ResponseBody>>,
+}
+
+impl From<SendResult> for SendFailure {
+    fn from(result: SendResult) -> SendFailure {
+        SendFailure { result, response: None }
+    }
 }
 
 /// A stream of which the first event has come.
@@ -196,47 +203,56 @@
 }
 
 impl Exchange {
-    /// Places and sends the request until there is a response.
-    async fn run(&mut self) -> ExchangeOutcome {
+    /// Places and sends the request until there is an answer.
+    async fn run(&self) -> Answer {
         loop {
             let dispatch = match self.place().await {
                 Ok(dispatch) => dispatch,
-                Err(refusal) => return ExchangeOutcome::Response(self.refuse(refusal)),
+                Err(refusal) => return Answer::Response(self.refuse(refusal)),
             };
-            let (result, failure, dispatch) = match self.send(dispatch).await {
-                (SendOutcome::Response(response), _) => {
-                    self.record_end(
-                        "answered",
-                        LineKind::Success,
-                        response.status().as_u16(),
-                        None,
-                    );
-                    return ExchangeOutcome::Response(response);
+            let failure = match self.send_until_answered(&dispatch).await {
+                Ok(Answer::Response(response)) => {
+                    let status = response.status().as_u16();
+                    self.record_end("answered", LineKind::Success, status, None);
+                    return Answer::Response(response);
                 }
-                (SendOutcome::Stream(stream), _) => return ExchangeOutcome::Stream(stream),
-                (SendOutcome::Failure(result, failure), dispatch) => (result, failure, dispatch),
+                Ok(stream) => return stream,
+                Err(failure) => failure,
             };
             let lost = GatewayRefusal::new(RefusalReason::AnswerLost);
-            let refusal = match (self.after_send(&dispatch, &result), failure) {
+            let refusal = match (self.after_send(&dispatch, &failure.result), failure.response) {
                 (NextStep::PlaceAgain, _) => continue,
-                (NextStep::RelayFailure, Some(failure)) => {
-                    let status = failure.status().as_u16();
+                (NextStep::RelayFailure, Some(response)) => {
+                    let status = response.status().as_u16();
                     self.record_end("server_failure", LineKind::Failure, status, None);
-                    return ExchangeOutcome::Response(failure);
+                    return Answer::Response(response);
                 }
                 (NextStep::Refuse(refusal), _) => refusal,
                 (NextStep::RelayFailure, None) | (NextStep::CutAnswer, _) => lost,
             };
-            return ExchangeOutcome::Response(self.refuse(refusal));
+            return Answer::Response(self.refuse(refusal));
         }
     }
 
     /// Waits until the request may be sent, and returns its destination.
-    pub(crate) async fn place(&mut self) -> Result<Dispatch, GatewayRefusal> {
+    pub(crate) async fn place(&self) -> Result<Dispatch, GatewayRefusal> {
+        self.place_by(Gateway::place).await
+    }
+
+    /// Waits until the request may be sent to a server besides the silent one that has it.
+    pub(crate) async fn place_successor(&self) -> Result<Dispatch, GatewayRefusal> {
+        self.place_by(Gateway::place_successor).await
+    }
+
+    async fn place_by(
+        &self,
+        place: impl Fn(&mut Gateway, Moment, &mut GatewayRequest) -> GatewayPlacement,
+    ) -> Result<Dispatch, GatewayRefusal> {
         loop {
-            let ctx = self.ctx.clone();
+            let ctx = &self.ctx;
             let capacity_freed = ctx.capacity_freed.notified();
-            let placement = ctx.gateway.borrow_mut().place(ctx.now(), &mut self.request);
+            let placement =
+                place(&mut ctx.gateway.borrow_mut(), ctx.now(), &mut self.request.borrow_mut());
             match placement {
                 GatewayPlacement::Send(dispatch) => {
                     ctx.load_changed.notify_one();
@@ -256,35 +272,47 @@
         }
     }
 
-    pub(crate) fn after_send(&mut self, dispatch: &Dispatch, result: &SendResult) -> NextStep {
+    pub(crate) fn leave_queue(&self) {
+        self.ctx.gateway.borrow_mut().leave_queue(&mut self.request.borrow_mut());
+    }
+
+    pub(crate) fn after_send(&self, dispatch: &Dispatch, result: &SendResult) -> NextStep {
         let now = self.ctx.now();
-        let step =
-            self.ctx.gateway.borrow_mut().after_send(now, &mut self.request, dispatch, result);
-        self.record_send_result(now, dispatch, result, step);
+        let mut request = self.request.borrow_mut();
+        let step = self.ctx.gateway.borrow_mut().after_send(now, &mut request, dispatch, result);
+        drop(request);
+        self.record_send_result(now, dispatch, result, Some(step));
         step
     }
 
+    /// Records that a send failed beside which the request is still with another server.
+    pub(crate) fn record_successor_failure(&self, dispatch: &Dispatch, result: &SendResult) {
+        let now = self.ctx.now();
+        let mut request = self.request.borrow_mut();
+        self.ctx.gateway.borrow_mut().record_result(now, &mut request, dispatch, result);
+        drop(request);
+        self.record_send_result(now, dispatch, result, None);
+    }
+
+    pub(crate) fn deadline(&self) -> Moment {
+        self.request.borrow().deadline
+    }
+
     /// Sends the request to one server and reads the response: all of it, or up to the first event of a
     /// stream.
-    pub(crate) async fn send(&mut self, dispatch: Dispatch) -> (SendOutcome, Dispatch) {
-        let copy = dispatch.clone();
+    pub(crate) async fn send(&self, dispatch: &Dispatch) -> Result<Answer, SendFailure> {
+        let dispatch = dispatch.clone();
         let mut active =
             ActiveSend { ctx: self.ctx.clone(), dispatch, upstream: None, memory: None };
-        let sent = match self.await_response_head(&mut active).await {
-            Ok((head, body)) => self.read_response(active, head, body).await,
-            Err(result) => SendOutcome::Failure(result, None),
-        };
-        (sent, copy)
+        let (head, body) = self.await_response_head(&mut active).await?;
+        self.read_response(active, head, body).await
     }
 
     async fn await_response_head(
-        &mut self,
+        &self,
         active: &mut ActiveSend,
     ) -> Result<(response::Parts, Incoming), SendResult> {
-        match reserve_memory(&self.ctx, &active.dispatch).await {
-            Ok(memory) => active.memory = memory,
-            Err(result) => return Err(result),
-        }
+        active.memory = reserve_memory(&self.ctx, &active.dispatch).await?;
         let mut upstream = match Upstream::connect(active.dispatch.server.address).await {
             Ok(upstream) => upstream,
             Err(error) => {
@@ -293,14 +321,19 @@
             }
         };
         let now = self.ctx.now();
-        if now >= self.request.deadline {
+        let deadline = self.deadline();
+        // Another send may have taken the last attempt while this one was connecting.
+        let has_attempt = {
+            let request = self.request.borrow();
+            request.sends < request.route.attempts
+        };
+        if now >= deadline || !has_attempt {
             return Err(SendResult::Unreached);
         }
         self.log_send(now, &active.dispatch);
-        self.ctx.gateway.borrow_mut().record_sent(&mut self.request);
+        self.ctx.gateway.borrow_mut().record_sent(&mut self.request.borrow_mut());
         let request = self.upstream_request(now, &active.dispatch);
-        let limit = active.dispatch.silence_deadline;
-        let response = timeout(limit.since(now), upstream.send(request)).await;
+        let response = timeout(deadline.since(now), upstream.send(request)).await;
         active.upstream = Some(upstream);
         match response {
             Ok(Ok(response)) => Ok(response.into_parts()),
@@ -308,32 +341,28 @@
                 self.log_send_error(&active.dispatch, &error);
                 match error {
                     SendError::NotSent(_) => {
-                        self.request.unresolved_sends =
-                            self.request.unresolved_sends.saturating_sub(1);
+                        let mut request = self.request.borrow_mut();
+                        request.unresolved_sends = request.unresolved_sends.saturating_sub(1);
                         Err(SendResult::Unreached)
                     }
                     SendError::Lost(_) => Err(SendResult::Lost),
                 }
             }
-            Err(_) => Err(self.silence_result(limit)),
+            Err(_) => Err(SendResult::TimedOut),
         }
     }
 
-    /// Returns the result of a send to a server that was silent until `limit`.
-    fn silence_result(&self, limit: Moment) -> SendResult {
-        if limit >= self.request.deadline { SendResult::TimedOut } else { SendResult::Lost }
-    }
-
     fn upstream_request(&self, now: Moment, dispatch: &Dispatch) -> Request<Full<Bytes>> {
         let mut fields = self.head.headers.clone();
         strip_connection_fields(&mut fields);
+        let known = self.request.borrow();
         let send = UpstreamHead {
             server: &dispatch.server.id,
             helpers: &dispatch.helpers,
-            customer: self.request.customer.as_ref(),
-            time_left: self.request.deadline.since(now),
+            customer: known.customer.as_ref(),
+            time_left: known.deadline.since(now),
             urgency: dispatch.urgency,
-            last_event: self.request.last_event,
+            last_event: known.last_event,
         };
         let mut request = Request::new(Full::new(self.body.bytes()));
         *request.method_mut() = self.head.method.clone();
@@ -343,31 +372,30 @@
     }
 
     async fn read_response(
-        &mut self,
+        &self,
         mut active: ActiveSend,
         head: response::Parts,
         body: Incoming,
-    ) -> SendOutcome {
+    ) -> Result<Answer, SendFailure> {
         let facts = self.ctx.dialect.response_facts(&head);
         if facts.not_run {
             let result =
                 SendResult::Declined { at_fault: facts.at_fault, retry_after: facts.retry_after };
-            return SendOutcome::Failure(result, None);
+            return Err(result.into());
         }
-        let is_other = facts.request_id.as_deref().is_some_and(|id| id != self.request.id);
+        let is_other = facts.request_id.as_deref().is_some_and(|id| id != self.request.borrow().id);
         let is_success = head.status.is_success();
         if is_other || (is_success && !facts.is_signed) {
-            return SendOutcome::Failure(SendResult::Lost, None);
+            return Err(SendResult::Lost.into());
         }
-        if is_success && self.request.route.kind.is_stream() {
+        if is_success && self.request.borrow().route.kind.is_stream() {
             return self.await_first_event(active, head, body).await;
         }
-        let limit = active.dispatch.silence_deadline.max(self.ctx.now());
-        let time = limit.since(self.ctx.now());
+        let time = self.deadline().since(self.ctx.now());
         let bytes = match timeout(time, collect_response(body)).await {
             Ok(Some(bytes)) => bytes,
-            Ok(None) => return SendOutcome::Failure(SendResult::Lost, None),
-            Err(_) => return SendOutcome::Failure(self.silence_result(limit), None),
+            Ok(None) => return Err(SendResult::Lost.into()),
+            Err(_) => return Err(SendResult::TimedOut.into()),
         };
         let now = self.ctx.now();
         let mut response = Response::from_parts(head, ResponseBody::whole(bytes));
@@ -375,43 +403,43 @@
         close_if_stopping(&self.ctx, response.headers_mut());
         active.upstream = None;
         if response.status().is_server_error() {
-            return SendOutcome::Failure(SendResult::Failed, Some(response));
+            return Err(SendFailure { result: SendResult::Failed, response: Some(response) });
         }
         self.ctx.gateway.borrow_mut().record_response(now, &active.dispatch);
         self.ctx.telemetry.count_send("answered");
         let time = now.since(self.arrived);
-        self.ctx.telemetry.observe_first_event(self.request.size.map(|size| size.prompt), time);
-        SendOutcome::Response(response)
+        let prompt = self.request.borrow().size.map(|size| size.prompt);
+        self.ctx.telemetry.observe_first_event(prompt, time);
+        Ok(Answer::Response(response))
     }
 
     /// Waits for the first event of a stream. Before it, the request can still go to another server.
     async fn await_first_event(
-        &mut self,
+        &self,
         active: ActiveSend,
         head: response::Parts,
         body: Incoming,
-    ) -> SendOutcome {
-        let limit = active.dispatch.silence_deadline;
+    ) -> Result<Answer, SendFailure> {
         let sent = self.ctx.now();
-        let mut relay = EventRelay::new(body, self.request.last_event);
-        let time = limit.since(sent);
+        let mut relay = EventRelay::new(body, self.request.borrow().last_event);
+        let time = self.deadline().since(sent);
         match timeout(time, relay.wait_first()).await {
             Ok(Ok(())) => {}
             Ok(Err(fault)) => {
                 self.record_fault(&active.dispatch, fault, sent);
-                return SendOutcome::Failure(SendResult::Lost, None);
+                return Err(SendResult::Lost.into());
             }
-            Err(_) => return SendOutcome::Failure(self.silence_result(limit), None),
+            Err(_) => return Err(SendResult::TimedOut.into()),
         }
         let now = self.ctx.now();
         active.record_progress(now);
         self.ctx.gateway.borrow_mut().record_first_event(now, &active.dispatch);
         self.ctx.notify_load_change();
         self.record_first_event(now, &active.dispatch);
-        SendOutcome::Stream(Box::new(StreamStart { send: active, head, relay }))
+        Ok(Answer::Stream(Box::new(StreamStart { send: active, head, relay })))
     }
 
-    fn refuse(&mut self, refusal: GatewayRefusal) -> Response<ResponseBody> {
+    fn refuse(&self, refusal: GatewayRefusal) -> Response<ResponseBody> {
         let name = refusal.reason.name();
         self.record_end(name, LineKind::Failure, refusal.reason.status(), Some(&refusal));
         refusal_response(&self.ctx, &refusal)
--- a/lib/src/transport/gateway/exchange_log.rs
+++ b/lib/src/transport/gateway/exchange_log.rs
@@ -42,36 +42,40 @@
 }
 
 impl Exchange {
-    /// Logs and counts a send that did not yield the response.
+    /// Logs and counts a send that did not yield the response; `step` is `None` if the request is
+    /// still with another server.
     pub(crate) fn record_send_result(
         &self,
         now: Moment,
         dispatch: &Dispatch,
         result: &SendResult,
-        step: NextStep,
+        step: Option<NextStep>,
     ) {
+        let request = self.request.borrow();
         let name = result_name(result);
         self.ctx.telemetry.count_send(name);
         if let Some(log) = self.ctx.telemetry.limited_log(now, LineKind::Failure) {
-            info!(log, "send failed"; "request" => &self.request.id, "result" => name,
-                "server" => &*dispatch.server.id.id, "sends" => self.request.sends,
-                "helpers" => dispatch.helpers.len(), "next" => ?step,
+            info!(log, "send failed"; "request" => &request.id, "result" => name,
+                "server" => &*dispatch.server.id.id, "sends" => request.sends,
+                "helpers" => dispatch.helpers.len(),
+                "next" => step.map_or("StaysElsewhere".to_owned(), |step| format!("{step:?}")),
                 "age_ms" => now.since(self.arrived).as_millis() as u64);
         }
     }
 
-    pub(crate) fn log_send(&mut self, now: Moment, dispatch: &Dispatch) {
+    pub(crate) fn log_send(&self, now: Moment, dispatch: &Dispatch) {
+        let request = self.request.borrow();
         let waited = now.since(self.arrived);
-        if self.first_sent.is_none() {
-            self.first_sent = Some(now);
+        if self.first_sent.get().is_none() {
+            self.first_sent.set(Some(now));
             self.ctx.telemetry.observe_waited(waited);
         }
         let Some(log) = self.ctx.telemetry.limited_log(now, LineKind::Success) else { return };
         let gateway = self.ctx.gateway.borrow();
         let load = gateway.load(&dispatch.server.id, now);
-        info!(log, "request sent"; "request" => &self.request.id,
+        info!(log, "request sent"; "request" => &request.id,
             "server" => &*dispatch.server.id.id, "waited_ms" => waited.as_millis() as u64,
-            "prompt" => self.request.size.map_or(0, |size| size.prompt),
+            "prompt" => request.size.map_or(0, |size| size.prompt),
             "helpers" => dispatch.helpers.len(),
             "expected_ms" => dispatch.expected_delay.as_millis() as u64,
             "backlog_ms" => load.backlog.as_millis() as u64,
@@ -80,9 +84,10 @@
     }
 
     pub(crate) fn log_send_error(&self, dispatch: &Dispatch, error: &SendError) {
+        let request = self.request.borrow();
         let now = self.ctx.now();
         if let Some(log) = self.ctx.telemetry.limited_log(now, LineKind::Failure) {
-            info!(log, "server connection failed"; "request" => &self.request.id,
+            info!(log, "server connection failed"; "request" => &request.id,
                 "server" => &*dispatch.server.id.id, "error" => %error);
         }
     }
@@ -99,33 +104,36 @@
     }
 
     fn log_stream_fault(&self, dispatch: &Dispatch, fault: &'static str, last: Moment) {
+        let request = self.request.borrow();
         let now = self.ctx.now();
         self.ctx.telemetry.count_stream_fault(fault);
         if let Some(log) = self.ctx.telemetry.limited_log(now, LineKind::Failure) {
-            info!(log, "stream fault"; "request" => &self.request.id,
+            info!(log, "stream fault"; "request" => &request.id,
                 "server" => &*dispatch.server.id.id, "fault" => fault,
                 "pause_ms" => now.since(last).as_millis() as u64,
-                "last_event" => self.request.last_event.unwrap_or(0),
-                "time_left_ms" => self.request.deadline.since(now).as_millis() as u64);
+                "last_event" => request.last_event.unwrap_or(0),
+                "time_left_ms" => request.deadline.since(now).as_millis() as u64);
         }
     }
 
     /// Logs why the request is not sent to another server.
     pub(crate) fn record_no_successor(&self, refusal: GatewayRefusal) {
+        let request = self.request.borrow();
         let now = self.ctx.now();
         if let Some(log) = self.ctx.telemetry.limited_log(now, LineKind::Failure) {
-            info!(log, "no successor"; "request" => &self.request.id,
+            info!(log, "no successor"; "request" => &request.id,
                 "reason" => refusal.cause.unwrap_or(refusal.reason).name(),
-                "sends" => self.request.sends,
-                "time_left_ms" => self.request.deadline.since(now).as_millis() as u64);
+                "sends" => request.sends,
+                "time_left_ms" => request.deadline.since(now).as_millis() as u64);
         }
     }
 
     pub(crate) fn record_first_event(&self, now: Moment, dispatch: &Dispatch) {
+        let request = self.request.borrow();
         let time = now.since(self.arrived);
-        self.ctx.telemetry.observe_first_event(self.request.size.map(|size| size.prompt), time);
+        self.ctx.telemetry.observe_first_event(request.size.map(|size| size.prompt), time);
         if let Some(log) = self.ctx.telemetry.limited_log(now, LineKind::Success) {
-            info!(log, "first event"; "request" => &self.request.id,
+            info!(log, "first event"; "request" => &request.id,
                 "server" => &*dispatch.server.id.id, "age_ms" => time.as_millis() as u64,
                 "expected_ms" => dispatch.expected_delay.as_millis() as u64);
         }
@@ -133,7 +141,7 @@
 
     /// Logs and counts the end of the request.
     pub(crate) fn record_end(
-        &mut self,
+        &self,
         outcome: &'static str,
         kind: LineKind,
         status: u16,
@@ -141,21 +149,22 @@
     ) {
         let retry_after = refusal.and_then(|refusal| refusal.retry_after);
         let cause = refusal.and_then(|refusal| refusal.cause);
-        self.is_finished = true;
+        self.is_finished.set(true);
+        let request = self.request.borrow();
         let now = self.ctx.now();
         self.ctx
             .telemetry
-            .count_request(RequestLabel { kind: kind_name(self.request.route.kind), outcome });
+            .count_request(RequestLabel { kind: kind_name(request.route.kind), outcome });
         if let Some(log) = self.ctx.telemetry.limited_log(now, kind) {
-            info!(log, "request ended"; "request" => &self.request.id, "outcome" => outcome,
-                "status" => status, "route" => &*self.request.route.name,
-                "customer" => self.request.customer.as_ref().map_or("", |name| name.as_str()),
-                "service" => self.request.service.as_str(), "sends" => self.request.sends,
-                "unreached" => self.request.unsent_attempts,
-                "prompt" => self.request.size.map_or(0, |size| size.prompt),
-                "last_event" => self.request.last_event.unwrap_or(0),
+            info!(log, "request ended"; "request" => &request.id, "outcome" => outcome,
+                "status" => status, "route" => &*request.route.name,
+                "customer" => request.customer.as_ref().map_or("", |name| name.as_str()),
+                "service" => request.service.as_str(), "sends" => request.sends,
+                "unreached" => request.unsent_attempts,
+                "prompt" => request.size.map_or(0, |size| size.prompt),
+                "last_event" => request.last_event.unwrap_or(0),
                 "cause" => cause.map_or("", RefusalReason::name),
-                "pause_ms" => self.longest_pause.as_millis() as u64,
+                "pause_ms" => self.longest_pause.get().as_millis() as u64,
                 "back_ms" => retry_after.map_or(-1, |after| after.as_millis() as i64),
                 "age_ms" => now.since(self.arrived).as_millis() as u64);
         }
--- a/lib/src/transport/gateway/mod.rs
+++ b/lib/src/transport/gateway/mod.rs
@@ -18,7 +18,8 @@
 pub(crate) mod request_body;
 pub(crate) mod response_body;
 pub(crate) mod response_head;
-pub(crate) mod telemetry;
+pub(crate) mod successor;
+mod telemetry;
 pub(crate) mod upstream;
 
 pub use clock::BootClock;
