--- a/cli/tests/test_failures_streams.rs
+++ b/cli/tests/test_failures_streams.rs
@@ -147,6 +147,28 @@
     assert!(fleet.wait_idle(RELEASE_TIMEOUT).await.is_some(), "memory is still held");
 }
 
+// Guards against the cause of inc1 at the own interface: a paused engine was left before another one
+// had granted an attempt, and the answer was refused midway.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn test_answers_outlast_a_pause_of_all_engines() {
+    let fleet = start_fleet(ENGINES).await;
+    let mut crowd = Crowd::default();
+    // More streams for each entry host than its retry budget has retries.
+    crowd.send(&fleet.callers(), &streams(54));
+    let streaming = |engine: &FleetEngine| !engine.engine.holdings().is_empty();
+    let all_running = async || fleet.engines.iter().all(streaming);
+    assert!(wait_until(WAIT_TIMEOUT, all_running).await.is_some(), "an engine has no stream");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.engines.iter().for_each(|engine| engine.engine.freeze());
+    tokio::time::sleep(Duration::from_millis(2 * ENGINE_IDLE_MS)).await;
+    fleet.engines.iter().for_each(|engine| engine.engine.thaw());
+    let stories = crowd.finish().await;
+    assert_whole(&stories);
+    let came_back = stories.iter().filter(|story| story.came_back > 0).count();
+    assert_eq!(came_back, 0, "callers had to come back");
+    assert!(fleet.wait_idle(RELEASE_TIMEOUT).await.is_some(), "memory is still held");
+}
+
 #[test_case(Fault::Kill; "killed")]
 #[test_case(Fault::Freeze; "frozen")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
