node: keep the stream of a silent engine until another one has granted it

Cause: move_silent_streams cancelled the stream, and only then asked the retry budget, placement and the dispatcher. The transport closed such streams by itself after the same time.

Change: a silent stream gets a successor, a start request at another engine with an attempt number of its own; the stream is left when that is granted and a retry is taken. An event of the silent engine, a denial or the end of the request withdraws it. The transport's idle limit remains for the streams of groups, which have no successors.

Evidence: test_answers_outlast_a_pause_of_all_engines failed before ('failed', 'retry_budget') and passes; the other eleven tests of test_failures_streams pass, among them frozen engines and stalled streams, whose answers still move.

--- a/lib/src/coordination/node/attempt_events.rs
+++ b/lib/src/coordination/node/attempt_events.rs
@@ -8,7 +8,6 @@
 use super::io::AttemptEvent;
 use super::io::AttemptRefusal;
 use super::io::FinishReason;
-use super::io::Output;
 use super::io::StreamReport;
 use super::running::ActiveStream;
 use super::running::PendingGrant;
@@ -42,6 +41,7 @@
         }
         streaming.last_event = now;
         let streaming = streaming.clone();
+        self.drop_successor(now, attempt.request);
         match event {
             AttemptEvent::Started { cached, prefill } => {
                 self.on_started(now, attempt, &streaming, cached, prefill);
@@ -159,9 +159,6 @@
 
     /// Abandons an attempt and places the request again, to continue after the last token that was
     /// forwarded.
-    ///
-    /// Unless the engine refused the attempt, it may still hold memory for it, so the attempt is
-    /// cancelled there.
     fn move_request(
         &mut self,
         now: Moment,
@@ -169,18 +166,9 @@
         streaming: &ActiveStream,
         cause: MoveCause,
     ) {
-        let id = attempt.request;
-        if cause != MoveCause::EngineRefused {
-            self.emit(Output::CancelStream { attempt, addr: streaming.addr });
-        }
-        let Some(running) = self.running.get_mut(id) else { return };
-        running.answer.restart();
-        running.excluded.push(streaming.engine.clone());
-        let sent_tokens = running.answer.sent();
-        self.finish_attempt(now, attempt, streaming, sent_tokens, true);
-        let engine = streaming.engine.clone();
-        self.record(Event::Moved { attempt, engine, sent_tokens, cause });
-        self.retry_request(now, id);
+        self.drop_successor(now, attempt.request);
+        self.leave_engine(now, attempt, streaming, cause);
+        self.retry_request(now, attempt.request);
     }
 
     /// Places a request again if the retry budget allows it, or refuses it.
@@ -195,24 +183,6 @@
         }
     }
 
-    /// Moves the requests whose streams have been silent for longer than `engine_idle` since
-    /// prefill ended.
-    pub(super) fn move_silent_streams(&mut self, now: Moment) {
-        let idle = self.tuning.engine_idle;
-        let silent = self.running.iter().filter_map(|running| match &running.phase {
-            Phase::Streaming(streaming)
-                if streaming.decode_start.is_some() && now.since(streaming.last_event) > idle =>
-            {
-                Some((running.attempt_id(), streaming.clone()))
-            }
-            _ => None,
-        });
-        let silent: Vec<(AttemptId, ActiveStream)> = silent.collect();
-        for (attempt, streaming) in silent {
-            self.move_request(now, attempt, &streaming, MoveCause::Silent);
-        }
-    }
-
     /// Moves the requests that an unreachable engine has not begun to answer.
     ///
     /// Requests whose answer has begun are moved only when their own stream falls silent, because
--- a/lib/src/coordination/node/completions.rs
+++ b/lib/src/coordination/node/completions.rs
@@ -32,6 +32,7 @@
 use crate::state::Moment;
 use crate::state::Outcome;
 use crate::state::Placement;
+use crate::state::PlacementChoice;
 use crate::state::PlacementQuery;
 use crate::state::Priority;
 use crate::state::Reason;
@@ -44,7 +45,7 @@
 pub(super) const START_REQUEST_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Maximum number of engines that one request is tried at.
-const MAX_ATTEMPTS: u32 = 6;
+pub(super) const MAX_ATTEMPTS: u32 = 6;
 
 /// `retry_after` while this process has no configuration yet, or knows no dispatcher for an engine.
 const START_RETRY: Duration = Duration::from_secs(2);
@@ -159,6 +160,9 @@
             caller,
             answer,
             attempt: 0,
+            attempts: 0,
+            successor: None,
+            sought: None,
             phase: Phase::AwaitingGrant(unplaced),
             excluded: Vec::new(),
             maybe_ran: false,
@@ -172,22 +176,11 @@
     ///
     /// `room_in` is when the last dispatcher that denied the request expects to have room.
     pub(super) fn place(&mut self, now: Moment, id: RequestId, room_in: Option<Duration>) {
-        let candidates = self.candidates();
-        let Some(running) = self.running.get(id) else { return };
-        let prompt = &running.completion.prompt;
-        let query = PlacementQuery {
-            model: &running.completion.model,
-            prompt_tokens: prompt.tokens + running.answer.sent(),
-            output_tokens: running.completion.max_output.saturating_sub(running.answer.sent()),
-            blocks: &prompt.blocks,
-            left: running.completion.deadline.since(now),
-            tried: &running.excluded,
-        };
-        let choice = self.placer.choose(now, &query, &candidates);
+        let Some(choice) = self.choose(now, id, None) else { return };
         match choice.placement {
             Placement::Engine { engine, .. } => {
                 let Some(running) = self.running.get_mut(id) else { return };
-                running.attempt += 1;
+                running.begin_attempt();
                 let attempt = running.attempt_id();
                 let tokens = running.completion.prompt.tokens;
                 self.placer.record_placement(now, &engine, tokens);
@@ -203,6 +196,28 @@
         }
     }
 
+    /// Chooses engines for a request, other than `current` and those that it was tried at.
+    pub(super) fn choose(
+        &mut self,
+        now: Moment,
+        id: RequestId,
+        current: Option<&EngineName>,
+    ) -> Option<PlacementChoice> {
+        let candidates = self.candidates();
+        let running = self.running.get(id)?;
+        let tried: Vec<EngineName> = running.excluded.iter().chain(current).cloned().collect();
+        let prompt = &running.completion.prompt;
+        let query = PlacementQuery {
+            model: &running.completion.model,
+            prompt_tokens: prompt.tokens + running.answer.sent(),
+            output_tokens: running.completion.max_output.saturating_sub(running.answer.sent()),
+            blocks: &prompt.blocks,
+            left: running.completion.deadline.since(now),
+            tried: &tried,
+        };
+        Some(self.placer.choose(now, &query, &candidates))
+    }
+
     /// Returns the engines that placement chooses from.
     fn candidates(&self) -> Vec<Candidate> {
         let engines = self.list.engines.iter();
@@ -224,9 +239,7 @@
 
     /// Requests a grant for the newest attempt from the dispatcher of `engine`.
     pub(super) fn request_start(&mut self, now: Moment, id: RequestId, engine: EngineName) {
-        let zone = self.list.engines.iter().find(|e| e.name == engine).map(|e| e.zone.clone());
-        let dispatcher = zone.and_then(|zone| self.members.dispatcher_of(&engine, &zone));
-        let Some(dispatcher) = dispatcher else {
+        let Some(dispatcher) = self.dispatcher_of(&engine) else {
             self.refuse_request(now, id, Reason::NoTarget, Some(START_RETRY));
             return;
         };
@@ -236,21 +249,28 @@
             dispatcher: dispatcher.clone(),
             requested: now,
         });
-        let Some(request) = self.make_start_request(now, id, engine) else { return };
+        let attempt = running.attempt_id();
+        let Some(request) = self.make_start_request(now, attempt, engine) else { return };
         self.send_start_request(now, &dispatcher, request);
     }
 
-    fn make_start_request(
+    /// Returns the entry host that dispatches for `engine`.
+    pub(super) fn dispatcher_of(&self, engine: &EngineName) -> Option<HostName> {
+        let listed = self.list.engines.iter().find(|listed| listed.name == *engine)?;
+        self.members.dispatcher_of(engine, &listed.zone)
+    }
+
+    pub(super) fn make_start_request(
         &self,
         now: Moment,
-        id: RequestId,
+        attempt: AttemptId,
         engine: EngineName,
     ) -> Option<StartRequest> {
-        let running = self.running.get(id)?;
+        let running = self.running.get(attempt.request)?;
         let completion = &running.completion;
         let weight = self.rules.customers.get(&completion.customer).map_or(1, |rule| rule.weight);
         Some(StartRequest {
-            attempt: running.attempt_id(),
+            attempt,
             engine,
             customer: completion.customer.clone(),
             weight,
@@ -293,7 +313,7 @@
 
     /// Starts the stream that the grant allows, or returns a grant that arrived too late.
     pub(super) fn on_grant(&mut self, now: Moment, from: &HostName, grant: Grant) {
-        if self.on_group_grant(now, &grant) {
+        if self.on_group_grant(now, &grant) || self.on_successor_grant(now, from, &grant) {
             return;
         }
         let id = grant.attempt.request;
@@ -301,12 +321,19 @@
             self.withdraw_attempt(now, from, grant.attempt, grant.engine);
             return;
         }
-        let engine = self.list.engines.iter().find(|engine| engine.name == grant.engine);
-        let Some(addr) = engine.map(|engine| engine.addr) else {
+        if !self.list.engines.iter().any(|engine| engine.name == grant.engine) {
             self.withdraw_attempt(now, from, grant.attempt, grant.engine);
             self.place(now, id, None);
             return;
-        };
+        }
+        self.start_stream(now, from, grant);
+    }
+
+    /// Starts the stream of a granted attempt.
+    pub(super) fn start_stream(&mut self, now: Moment, from: &HostName, grant: Grant) {
+        let id = grant.attempt.request;
+        let engine = self.list.engines.iter().find(|engine| engine.name == grant.engine);
+        let Some(addr) = engine.map(|engine| engine.addr) else { return };
         let (attempt, queued) = (grant.attempt, grant.queued);
         self.record(Event::Granted { attempt, engine: grant.engine.clone(), queued });
         let owner = self.incarnation;
@@ -348,7 +375,7 @@
         running.attempt == attempt.number && matches!(running.phase, Phase::AwaitingGrant(_))
     }
 
-    fn withdraw_attempt(
+    pub(super) fn withdraw_attempt(
         &mut self,
         now: Moment,
         to: &HostName,
@@ -361,7 +388,10 @@
 
     /// Places a denied request at another engine.
     pub(super) fn on_denial(&mut self, now: Moment, denial: Denial) {
-        if self.on_group_denial(now, &denial) || !self.awaits_grant(denial.attempt) {
+        if self.on_group_denial(now, &denial)
+            || self.on_successor_denial(&denial)
+            || !self.awaits_grant(denial.attempt)
+        {
             return;
         }
         let id = denial.attempt.request;
@@ -369,7 +399,7 @@
         self.record(Event::Denied { attempt, engine, reason });
         let Some(running) = self.running.get_mut(id) else { return };
         running.excluded.push(denial.engine);
-        if running.attempt >= MAX_ATTEMPTS {
+        if running.attempts >= MAX_ATTEMPTS {
             self.refuse_request(now, id, denial.reason, denial.room_in);
             return;
         }
@@ -401,6 +431,7 @@
 
     /// Withdraws the start request or grant of a request, and cancels its stream.
     pub(super) fn withdraw(&mut self, now: Moment, id: RequestId) {
+        self.drop_successor(now, id);
         let Some(running) = self.running.get(id) else { return };
         let attempt = running.attempt_id();
         match &running.phase {
@@ -493,7 +524,10 @@
         let Some(running) = self.running.get(attempt.request) else { return false };
         match &running.phase {
             Phase::Group(group) => group.group.attempts().any(|(id, _)| id == attempt),
-            Phase::AwaitingGrant(_) | Phase::Streaming(_) => running.attempt == attempt.number,
+            Phase::AwaitingGrant(_) | Phase::Streaming(_) => {
+                let successor = running.successor.as_ref().map(|next| next.number);
+                running.attempt == attempt.number || successor == Some(attempt.number)
+            }
         }
     }
 }
--- a/lib/src/coordination/node/groups.rs
+++ b/lib/src/coordination/node/groups.rs
@@ -52,8 +52,9 @@
     pub(super) fn reserve_group(&mut self, now: Moment, id: RequestId, plans: Vec<SegmentPlan>) {
         let Some(running) = self.running.get_mut(id) else { return };
         let deadline = running.completion.deadline;
-        let first = running.attempt + 1;
-        running.attempt += u32::try_from(plans.len()).unwrap_or(u32::MAX);
+        let first = running.attempts + 1;
+        running.attempts += u32::try_from(plans.len()).unwrap_or(u32::MAX);
+        running.attempt = running.attempts;
         let mut group = LongGroup::new(id, first, plans, deadline);
         let actions = group.start();
         running.phase = Phase::Group(Box::new(GroupState { group, requested: now, stream: None }));
--- a/lib/src/coordination/node/mod.rs
+++ b/lib/src/coordination/node/mod.rs
@@ -15,6 +15,7 @@
 mod orders;
 mod running;
 mod status;
+mod successor;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
--- a/lib/src/coordination/node/running.rs
+++ b/lib/src/coordination/node/running.rs
@@ -24,10 +24,16 @@
     pub(super) caller: CallerId,
     /// The part of the answer that was forwarded to the caller.
     pub(super) answer: AnswerAssembler,
-    /// Number of the newest attempt.
+    /// Number of the attempt that `phase` describes.
     pub(super) attempt: u32,
+    /// Number of the newest attempt, which may be that of a successor.
+    pub(super) attempts: u32,
     /// What the completion waits for.
     pub(super) phase: Phase,
+    /// The attempt that takes over from a silent engine once it is granted.
+    pub(super) successor: Option<Successor>,
+    /// When a successor was last sought.
+    pub(super) sought: Option<Moment>,
     /// Engines that denied or failed this completion.
     pub(super) excluded: Vec<EngineName>,
     /// Whether any attempt may have run at an engine.
@@ -58,6 +64,15 @@
     pub(super) requested: Moment,
 }
 
+/// An attempt at another engine while a silent one keeps the stream.
+#[derive(Debug, Clone)]
+pub(super) struct Successor {
+    /// Number of the attempt.
+    pub(super) number: u32,
+    /// Its start request.
+    pub(super) pending: PendingGrant,
+}
+
 /// A stream that has been started at an engine.
 #[derive(Debug, Clone)]
 pub(super) struct ActiveStream {
@@ -95,7 +110,13 @@
 }
 
 impl RunningCompletion {
-    /// Returns the identifier of the newest attempt.
+    /// Assigns a number to a new attempt that replaces the current one.
+    pub(super) fn begin_attempt(&mut self) {
+        self.attempts += 1;
+        self.attempt = self.attempts;
+    }
+
+    /// Returns the identifier of the current attempt.
     pub(super) fn attempt_id(&self) -> AttemptId {
         AttemptId { request: self.completion.id, number: self.attempt }
     }
--- a/lib/src/state/retry_budget.rs
+++ b/lib/src/state/retry_budget.rs
@@ -49,6 +49,17 @@
         Ok(())
     }
 
+    /// Returns whether a retry is available.
+    ///
+    /// ```
+    /// use wasabicrank_lib::state::{Moment, RetryBudget};
+    /// assert!(RetryBudget::new(Moment(0)).has_retry(Moment(0)));
+    /// ```
+    pub fn has_retry(&mut self, now: Moment) -> bool {
+        self.refill(now);
+        self.retries >= 1.0
+    }
+
     fn refill(&mut self, now: Moment) {
         let passed = now.since(self.updated).as_secs_f64();
         self.updated = self.updated.max(now);
--- a/lib/src/transport/engine_client.rs
+++ b/lib/src/transport/engine_client.rs
@@ -52,7 +52,8 @@
 }
 
 impl EngineClient {
-    /// Creates a client that abandons a stream after its first event if no event arrives for `idle`.
+    /// Creates a client that abandons the stream of a group after its first event if no event arrives
+    /// for `idle`.
     pub(crate) fn new(http: reqwest::Client, core: CoreSender, idle: Duration) -> EngineClient {
         EngineClient { http, core, idle }
     }
@@ -72,7 +73,7 @@
         let mut events = response.bytes_stream().eventsource();
         let mut pieces = Pieces::default();
         // An engine is silent during the prefill of a long prompt; one that hangs then is detected by
-        // polls. The idle timeout applies after the first event.
+        // polls.
         let mut idle_timeout = start.time_left;
         loop {
             // Joins the pieces that have already arrived before reporting them to the core.
@@ -97,7 +98,10 @@
                 // Drops an event that belongs to another attempt.
                 continue;
             }
-            idle_timeout = self.idle;
+            // The core moves the other streams, which it keeps until another engine has granted them.
+            if !start.segments.is_empty() {
+                idle_timeout = self.idle;
+            }
             self.take(start, &mut pieces, event.into()).await;
         }
     }
