--- a/lib/src/coordination/gateway/retry.rs
+++ b/lib/src/coordination/gateway/retry.rs
@@ -19,8 +19,6 @@
 const DECLINED_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// The minimum time left until the deadline for a retry.
 const MIN_RESEND_TIME: Duration = Duration::from_millis(40);
-/// How long a silent server is avoided.
-const SILENCE_AVOID_TIME: Duration = Duration::from_millis(700);
 /// How long an engine is avoided that had less free memory than estimated.
 const NO_MEMORY_AVOID_TIME: Duration = Duration::from_millis(500);
 
@@ -158,17 +156,9 @@
         }
     }
 
-    /// Avoids a server for a while that has been silent for longer than expected. It may be healthy:
-    /// engines pause while they prefill long prompts.
+    /// Records that a server has been silent for longer than expected, so that others are preferred
+    /// until it answers.
     pub fn record_silence(&mut self, now: Moment, dispatch: &Dispatch) {
-        let server = &dispatch.server.id;
-        if self.servers.contains(server) {
-            self.health.entry(server.clone()).or_default().avoid_for(now, SILENCE_AVOID_TIME);
-        }
-    }
-
-    /// Records that another server answered in place of the silent one of `dispatch`.
-    pub fn record_replaced(&mut self, now: Moment, dispatch: &Dispatch) {
         self.record(now, &dispatch.server.id, ServerResult::Lost);
     }
 
--- a/lib/src/transport/gateway/exchange.rs
+++ b/lib/src/transport/gateway/exchange.rs
@@ -44,6 +44,7 @@
 use crate::coordination::RefusalReason;
 use crate::coordination::SendResult;
 use crate::state::Moment;
+use crate::state::SendId;
 
 /// The timeout for reading a request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -103,6 +104,7 @@
         arrived,
         is_finished: Cell::new(false),
         first_sent: Cell::new(None),
+        silent_send: Cell::new(None),
         longest_pause: Cell::new(Duration::ZERO),
     };
     Ok(match exchange.run().await {
@@ -122,6 +124,8 @@
     pub(crate) arrived: Moment,
     pub(crate) is_finished: Cell<bool>,
     pub(crate) first_sent: Cell<Option<Moment>>,
+    /// The newest send whose server was recorded as silent.
+    pub(crate) silent_send: Cell<Option<SendId>>,
     /// The longest pause between two events of the response's stream.
     pub(crate) longest_pause: Cell<Duration>,
 }
--- a/lib/src/transport/gateway/exchange_log.rs
+++ b/lib/src/transport/gateway/exchange_log.rs
@@ -55,8 +55,8 @@
     }
 
     /// Logs and counts that another server answered in place of the silent one of `dispatch`.
-    pub(crate) fn record_replaced(&self, now: Moment, dispatch: &Dispatch) {
-        self.record_end_of_send(now, dispatch, "silent", None);
+    pub(crate) fn record_replaced(&self, dispatch: &Dispatch) {
+        self.record_end_of_send(self.ctx.now(), dispatch, "silent", None);
     }
 
     fn record_end_of_send(
--- a/lib/src/transport/gateway/successor.rs
+++ b/lib/src/transport/gateway/successor.rs
@@ -97,7 +97,10 @@
             return AfterSilence::StillSilent;
         }
         self.log_silence(silent.dispatch, silent.since);
-        self.ctx.gateway.borrow_mut().record_silence(self.ctx.now(), silent.dispatch);
+        let send = Some(silent.dispatch.send);
+        if self.silent_send.replace(send) != send {
+            self.ctx.gateway.borrow_mut().record_silence(self.ctx.now(), silent.dispatch);
+        }
         let mut search = pin!(self.find_successor(missing));
         let mut failure = None;
         let found = loop {
@@ -111,9 +114,7 @@
         };
         match (found, failure) {
             (Some(answer), _) => {
-                let now = self.ctx.now();
-                self.ctx.gateway.borrow_mut().record_replaced(now, silent.dispatch);
-                self.record_replaced(now, silent.dispatch);
+                self.record_replaced(silent.dispatch);
                 AfterSilence::Successor(answer)
             }
             (None, Some(error)) => AfterSilence::Same(Err(error)),
