soak: servers that say in their answers that they leave

Cause: the soak's servers left by their entries only, so nothing pressed the platform's rule on servers that say in their answers that they leave (DRAIN).

The signature names the server, by which callers record when a host passed on such a response. No request that was sent to that start of the host later may reach that server, whatever else is disturbed; the platform allows drain_ms more.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -22,6 +22,7 @@
 use crate::evidence::Kind;
 use crate::evidence::Outcome;
 use crate::evidence::Sent;
+use crate::server::SIGNATURE;
 use crate::server::call_text;
 use crate::server::event_count;
 use crate::server::event_text;
@@ -125,6 +126,7 @@
         evidence.observations().sent.insert(call.id.clone(), sent);
         let answering = async {
             let response = self.sender.send_request(build_request(&call)).await.ok()?;
+            record_leaving(self.target, &response, evidence);
             Some(read_response(&call, response, evidence).await)
         };
         let time = call.cancel_after.unwrap_or(call.timeout() + LATE_RESPONSE_TIME);
@@ -173,6 +175,15 @@
     request
 }
 
+/// Records a response whose server stated that it is leaving.
+fn record_leaving(target: Target, response: &Response<Incoming>, evidence: &Evidence) {
+    let field = |name: &str| response.headers().get(name).and_then(|value| value.to_str().ok());
+    let (Some("1"), Some(server)) = (field("server-leaving"), field(SIGNATURE)) else { return };
+    let now = evidence.now();
+    let key = (server.to_owned(), target.host, target.start);
+    evidence.observations().passed_on.entry(key).or_insert(now);
+}
+
 /// Reads a response to its end and records a violation if it is wrong.
 async fn read_response(
     call: &CallerRequest,
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -91,6 +91,7 @@
         violations.extend(self.unknown_route(sent, status));
         for run in runs {
             violations.extend(self.wrong_run(sent, run));
+            violations.extend(self.run_at_leaving(sent, run));
         }
         violations
     }
@@ -138,6 +139,16 @@
             .then(|| format!("reached server {}, which departed at {left} ms", run.server))
     }
 
+    /// Finds a request that was sent to a host after the host had passed on that a server leaves, and
+    /// that reached the server, whatever else was disturbed. The platform allows `DRAIN_MS` more.
+    fn run_at_leaving(&self, sent: &Sent, run: &Run) -> Option<String> {
+        let passed_on = (run.server.clone(), sent.host, sent.start);
+        let at = self.observations.passed_on.get(&passed_on)?;
+        (sent.at > *at).then(|| {
+            format!("reached server {}, whose leaving its host passed on at {at} ms", run.server)
+        })
+    }
+
     fn is_connected(&self, host: usize, from: Millis, to: Millis) -> bool {
         self.observations.is_undisturbed(
             &[Scope::Host(host), Scope::StoreOf(host), Scope::Store],
--- a/soak/src/evidence.rs
+++ b/soak/src/evidence.rs
@@ -124,6 +124,9 @@
     pub(crate) disturbed: Vec<(Scope, Millis, Millis)>,
     /// When a server's departure was written to the store, by the server's id.
     pub(crate) left: HashMap<String, Millis>,
+    /// When a caller first received a response of a server that stated its leaving, by the server's
+    /// id, the host that passed it on, and the start count of the host's process.
+    pub(crate) passed_on: HashMap<(String, usize, u64), Millis>,
     /// When a key's revocation was written to the store.
     pub(crate) revoked: HashMap<String, Millis>,
     /// When a route was written to the store, by its path.
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -13,6 +13,7 @@
 use crate::evidence::Scope;
 use crate::fleet::Disturbance;
 use crate::fleet::STOP_GRACE;
+use crate::schedule::Departure;
 use crate::schedule::Fault;
 use crate::schedule::LinkFault;
 use crate::server::Behavior;
@@ -89,8 +90,8 @@
                 Ok(())
             }
             Fault::ServerCrash { server, span } => self.crash_server(server, span).await,
-            Fault::ServerLeaves { server, in_silence } => {
-                self.replace_server(server, in_silence).await
+            Fault::ServerLeaves { server, departure } => {
+                self.replace_server(server, departure).await
             }
             Fault::AddRoute => {
                 self.add_route();
@@ -172,7 +173,7 @@
         server.relay.listen().await
     }
 
-    async fn replace_server(&self, position: usize, in_silence: bool) -> io::Result<()> {
+    async fn replace_server(&self, position: usize, departure: Departure) -> io::Result<()> {
         let _disturbance = Disturbance::begin(&self.evidence, Scope::Server(position));
         let successor = self.start_server(position).await?;
         let server = {
@@ -180,9 +181,14 @@
             std::mem::replace(&mut servers[position], successor.clone())
         };
         self.register(&successor, false);
-        match in_silence {
-            true => self.deregister(&server),
-            false => self.register(&server, true),
+        match departure {
+            Departure::Announced => self.register(&server, true),
+            Departure::Silent => self.deregister(&server),
+            Departure::InResponses(ready_span) => {
+                server.announce_leaving();
+                sleep(ready_span).await;
+                self.register(&server, true);
+            }
         }
         let now = self.evidence.now();
         self.evidence.observations().left.insert(server.state.id.clone(), now);
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -24,6 +24,17 @@
     Refuse,
 }
 
+/// How a server leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Departure {
+    /// Its entry states that it is draining.
+    Announced,
+    /// Its entry is removed.
+    Silent,
+    /// Its responses state it, while its entry says for this long that it is ready.
+    InResponses(Duration),
+}
+
 /// A fault or a planned change.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -39,7 +50,7 @@
     ServerLink { server: usize, link: LinkFault, span: Duration },
     ServerManner { server: usize, manner: Behavior, span: Duration },
     ServerCrash { server: usize, span: Duration },
-    ServerLeaves { server: usize, in_silence: bool },
+    ServerLeaves { server: usize, departure: Departure },
     AddRoute,
     Storm,
     Revoke,
@@ -102,7 +113,7 @@
         12 | 13 => Fault::ServerLink { server, link: draw_link(random), span },
         14 => Fault::ServerManner { server, manner: draw_behavior(random), span },
         15 => Fault::ServerCrash { server, span },
-        16 => Fault::ServerLeaves { server, in_silence: random.random() },
+        16 => Fault::ServerLeaves { server, departure: draw_departure(random, span) },
         17 => Fault::AddRoute,
         18 => Fault::Storm,
         _ => Fault::Revoke,
@@ -122,11 +133,20 @@
         Fault::ServerLink { link, span, .. } => Fault::ServerLink { server, link, span },
         Fault::ServerManner { manner, span, .. } => Fault::ServerManner { server, manner, span },
         Fault::ServerCrash { span, .. } => Fault::ServerCrash { server, span },
-        Fault::ServerLeaves { in_silence, .. } => Fault::ServerLeaves { server, in_silence },
+        Fault::ServerLeaves { departure, .. } => Fault::ServerLeaves { server, departure },
         other => other,
     }
 }
 
+/// Takes as many random numbers as a choice of two would, so that other faults of a seed stay.
+fn draw_departure(random: &mut SmallRng, span: Duration) -> Departure {
+    match random.random::<u32>() % 4 {
+        0 => Departure::Announced,
+        1 => Departure::Silent,
+        _ => Departure::InResponses(span),
+    }
+}
+
 fn draw_link(random: &mut SmallRng) -> LinkFault {
     match random.random_range(0..6) {
         0 => LinkFault::Cut,
--- a/soak/src/server.rs
+++ b/soak/src/server.rs
@@ -6,12 +6,14 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::Weak;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -34,6 +36,8 @@
 use crate::http_server::ResponseBody;
 use crate::http_server::listen;
 
+/// The header field that holds the id of the server that responded.
+pub(crate) const SIGNATURE: &str = "x-response-signature";
 /// The number of requests that one server executes concurrently.
 const SLOTS: u32 = 24;
 /// The time between two events of a stream.
@@ -85,6 +89,8 @@
     pub(crate) id: String,
     pub(crate) service: &'static str,
     behavior: Mutex<Behavior>,
+    /// Whether it states in its responses that it is leaving.
+    is_leaving: AtomicBool,
     running: AtomicU32,
     tickets: Mutex<HashMap<String, Ticket>>,
     registry: Registry,
@@ -109,6 +115,7 @@
             id,
             service,
             behavior: Mutex::default(),
+            is_leaving: AtomicBool::new(false),
             running: AtomicU32::new(0),
             tickets: Mutex::default(),
             registry: registry.clone(),
@@ -140,6 +147,11 @@
         *lock(&self.state.behavior) = behavior;
     }
 
+    /// Makes it state in all further responses that it is leaving.
+    pub(crate) fn announce_leaving(&self) {
+        self.state.is_leaving.store(true, Ordering::SeqCst);
+    }
+
     /// Drops all reservations, as a crash of the process would.
     pub(crate) fn drop_tickets(&self) {
         lock(&self.state.tickets).clear();
@@ -167,6 +179,14 @@
     }
 
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
+        let mut response = self.clone().execute(request).await;
+        if self.is_leaving.load(Ordering::SeqCst) {
+            response.headers_mut().insert("server-leaving", HeaderValue::from_static("1"));
+        }
+        response
+    }
+
+    async fn execute(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
         let (head, body) = request.into_parts();
         // An incomplete body means that its caller has disconnected.
         let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
@@ -221,10 +241,12 @@
                 // Cannot fail: the receiver is held below, and the channel has room for both pieces.
                 let _ = pieces.try_send(Ok(Bytes::from(text[..text.len() / 2].to_owned())));
                 let _ = pieces.try_send(Err(Aborted));
-                signed(id, ResponseBody::Pieces(receiver))
+                self.signed(id, ResponseBody::Pieces(receiver))
+            }
+            Behavior::Confuses => self.signed("another", full_body(&text)),
+            Behavior::Good | Behavior::Sheds | Behavior::LateOrders => {
+                self.signed(id, full_body(&text))
             }
-            Behavior::Confuses => signed("another", full_body(&text)),
-            Behavior::Good | Behavior::Sheds | Behavior::LateOrders => signed(id, full_body(&text)),
         }
     }
 
@@ -267,7 +289,18 @@
         if behavior == Behavior::LosesAnswers {
             return aborted_response();
         }
-        signed(shown, ResponseBody::Pieces(receiver))
+        self.signed(shown, ResponseBody::Pieces(receiver))
+    }
+
+    /// Returns a response whose signature names this server.
+    fn signed(&self, id: &str, answer: ResponseBody) -> Response<ResponseBody> {
+        let mut response = Response::new(answer);
+        for (name, value) in [(SIGNATURE, self.id.as_str()), ("x-request-id", id)] {
+            if let Ok(value) = value.parse() {
+                response.headers_mut().insert(name, value);
+            }
+        }
+        response
     }
 
     async fn order(self: Arc<Self>, body: &[u8]) -> Response<ResponseBody> {
@@ -406,16 +439,6 @@
     Response::new(ResponseBody::Pieces(receiver))
 }
 
-fn signed(id: &str, answer: ResponseBody) -> Response<ResponseBody> {
-    let mut response = Response::new(answer);
-    for (name, value) in [("x-response-signature", "signature"), ("x-request-id", id)] {
-        if let Ok(value) = value.parse() {
-            response.headers_mut().insert(name, value);
-        }
-    }
-    response
-}
-
 fn respond(status: StatusCode, fields: &str, body: &str) -> Response<ResponseBody> {
     let mut response = Response::new(full_body(body));
     *response.status_mut() = status;
