--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -140,12 +140,15 @@
     }
 
     /// Finds a request that was sent to a host after the host had passed on that a server leaves, and
-    /// that reached the server, whatever else was disturbed. The platform allows `DRAIN_MS` more.
+    /// that reached the server or had it as a helper, whatever else was disturbed. The platform allows
+    /// `DRAIN_MS` more, and says nothing of helpers.
     fn run_at_leaving(&self, sent: &Sent, run: &Run) -> Option<String> {
-        let passed_on = (run.server.clone(), sent.host, sent.start);
-        let at = self.observations.passed_on.get(&passed_on)?;
-        (sent.at > *at).then(|| {
-            format!("reached server {}, whose leaving its host passed on at {at} ms", run.server)
+        run.helpers.iter().chain([&run.server]).find_map(|server| {
+            let passed_on = (server.clone(), sent.host, sent.start);
+            let at = self.observations.passed_on.get(&passed_on)?;
+            (sent.at > *at).then(|| {
+                format!("used server {server}, whose leaving its host passed on at {at} ms")
+            })
         })
     }
 
--- a/soak/src/evidence.rs
+++ b/soak/src/evidence.rs
@@ -96,6 +96,8 @@
     pub(crate) request: String,
     pub(crate) server: String,
     pub(crate) service: String,
+    /// The ids of the servers that prefill the prompt jointly with `server`.
+    pub(crate) helpers: Vec<String>,
     pub(crate) customer: Option<String>,
     pub(crate) has_key: bool,
     pub(crate) patience: Option<u64>,
--- a/soak/src/server.rs
+++ b/soak/src/server.rs
@@ -207,6 +207,7 @@
             request: id.clone(),
             server: self.id.clone(),
             service: self.service.to_owned(),
+            helpers: self.helper_ids(&head.headers),
             customer: field("x-tenant"),
             has_key: field("authorization").is_some(),
             patience: field("x-deadline-ms").and_then(|text| text.parse().ok()),
@@ -336,6 +337,13 @@
         }
     }
 
+    /// Returns the ids of the helpers that still exist.
+    fn helper_ids(&self, fields: &HeaderMap) -> Vec<String> {
+        let registry = lock(&self.registry);
+        let states = helpers(fields).into_iter().filter_map(|(address, _)| registry.get(&address));
+        states.filter_map(Weak::upgrade).map(|state| state.id.clone()).collect()
+    }
+
     /// Returns a helper that no longer exists or lacks a valid reservation that the request names.
     fn missing_helper(&self, fields: &HeaderMap) -> Option<SocketAddr> {
         let registry = lock(&self.registry);
