--- a/lib/src/coordination/gateway/retry.rs
+++ b/lib/src/coordination/gateway/retry.rs
@@ -31,6 +31,8 @@
     NoMemory,
     /// Other sends had taken the request's attempts or the retry budget; nothing was sent.
     NoAttempt,
+    /// One of its servers stated meanwhile that it is leaving; nothing was sent.
+    Leaving,
     /// The server states that it did not run the request and never will.
     Declined {
         /// The address of the server at fault, if it is another one.
@@ -108,7 +110,7 @@
 
     /// Returns whether `request`, whose server is silent, may be sent to another server as well.
     pub fn has_successor(&mut self, now: Moment, request: &GatewayRequest) -> bool {
-        let servers = self.servers.of_service(&request.service);
+        let servers = self.usable_servers(&request.service);
         let has_other = servers
             .iter()
             .any(|server| !request.tried.contains(&server.id) && !self.is_avoided(server, now));
@@ -146,7 +148,10 @@
             SendResult::Unreached | SendResult::Lost | SendResult::Cut => {
                 self.record(now, server, ServerResult::Lost);
             }
-            SendResult::NoMemory => request.tried.retain(|tried| tried != server),
+            // A later placement never chooses a server that leaves.
+            SendResult::NoMemory | SendResult::Leaving => {
+                request.tried.retain(|tried| tried != server);
+            }
             SendResult::Declined { at_fault, .. } => {
                 self.record_decline(now, request, dispatch, at_fault.as_deref());
                 request.unresolved_sends = request.unresolved_sends.saturating_sub(1);
@@ -190,6 +195,7 @@
                     GatewayRefusal::retry_after(RefusalReason::NoMemory, DECLINED_RETRY_AFTER);
                 NextStep::Refuse(lost_if_may_have_run(request, refusal))
             }
+            SendResult::Leaving => NextStep::PlaceAgain,
             SendResult::Declined { retry_after, .. } => {
                 if self.take_retry(now, request) {
                     return NextStep::PlaceAgain;
--- a/lib/src/transport/gateway/exchange_log.rs
+++ b/lib/src/transport/gateway/exchange_log.rs
@@ -198,6 +198,7 @@
         SendResult::Unreached => "unreached",
         SendResult::NoMemory => "no_memory",
         SendResult::NoAttempt => "no_attempt",
+        SendResult::Leaving => "leaving",
         SendResult::Declined { .. } => "declined",
         SendResult::Failed => "failed",
         SendResult::Lost => "lost",
--- a/lib/src/transport/gateway/successor.rs
+++ b/lib/src/transport/gateway/successor.rs
@@ -141,7 +141,10 @@
             };
             let was_sent = !matches!(
                 result,
-                SendResult::Unreached | SendResult::NoMemory | SendResult::NoAttempt
+                SendResult::Unreached
+                    | SendResult::NoMemory
+                    | SendResult::Leaving
+                    | SendResult::NoAttempt
             );
             unsent += u32::from(!was_sent);
             self.record_successor_failure(&dispatch, &result);
