gateway: cover pauses by decision tests, and return callers before their time ends

A refused caller whose time ends soon after the first pause could be given a Retry-After at the very end of its time; it now gets at most half of what is left after the pause. test_gateway_pauses.rs (34 cases) and the cases of a_retry_after_converts_to_a_pause were written with the mechanism.

--- a/lib/src/coordination/gateway/pauses.rs
+++ b/lib/src/coordination/gateway/pauses.rs
@@ -73,7 +73,7 @@
         let spread = RETURN_SPREAD.mul_f64(self.random.random_range(0.0..1.0));
         let retry_after = first_end
             .filter(|end| *end + MIN_TIME_AFTER_PAUSE < caller_left)
-            .map_or(OTHER_HOST_RETRY_AFTER, |end| end + spread.min(caller_left - end));
+            .map_or(OTHER_HOST_RETRY_AFTER, |end| end + spread.min((caller_left - end) / 2));
         GatewayRefusal::retry_after(RefusalReason::ServersPaused, retry_after)
     }
 
