soak: servers turn requests away and ask for a pause

The fault answers requests and orders with 503, X-Not-Executed and Retry-After for a while, at one server or all at once; the check is the platform's rule: no more than two arrivals from one host between half a second after the answer and the end of the pause, where neither host nor link was disturbed.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -15,6 +15,7 @@
 use crate::fleet::RETRY_SLACK;
 use crate::fleet::RETRY_WINDOW_MS;
 use crate::fleet::REVOKE_MS;
+use crate::pauses::ignored_pauses;
 
 /// Time without disturbances that must precede a server's departure, a planned stop, or the last
 /// `CONFIG_MS` before a request for an added route, for the check of it to apply.
@@ -58,6 +59,7 @@
         violations.extend(self.exceeded_retry_budget());
         violations.extend(self.aborted_by_stops(&runs));
         violations.extend(self.not_recovered());
+        violations.extend(ignored_pauses(self.observations));
         violations
     }
 
--- a/soak/src/evidence.rs
+++ b/soak/src/evidence.rs
@@ -102,6 +102,21 @@
     pub(crate) at: Millis,
     /// Whether the server declined the request: it was not executed and never will be.
     pub(crate) is_declined: bool,
+    /// The pause that the server asked for when it declined the request.
+    pub(crate) pause: Option<Millis>,
+    /// The holder of the request's reservations, if it has any.
+    pub(crate) holder: Option<String>,
+}
+
+/// An order as a server saw it.
+#[derive(Debug, Clone)]
+pub(crate) struct OrderSeen {
+    pub(crate) server: String,
+    /// The part of the reservation's name that identifies the process that ordered it.
+    pub(crate) holder: String,
+    pub(crate) at: Millis,
+    /// The pause that the server asked for when it declined the order.
+    pub(crate) pause: Option<Millis>,
 }
 
 /// What a disturbance affects; checks that depend on it do not apply meanwhile.
@@ -120,6 +135,9 @@
 pub(crate) struct Observations {
     pub(crate) sent: HashMap<String, Sent>,
     pub(crate) runs: Vec<Run>,
+    pub(crate) orders: Vec<OrderSeen>,
+    /// When the link of a server was disturbed, by the server's id.
+    pub(crate) disturbed_links: Vec<(String, Millis, Millis)>,
     /// Disturbances with their beginning and end.
     pub(crate) disturbed: Vec<(Scope, Millis, Millis)>,
     /// When a server's departure was written to the store, by the server's id.
@@ -134,6 +152,14 @@
 }
 
 impl Observations {
+    /// Returns whether the link to `server` was not disturbed from `from` to `to`.
+    pub(crate) fn is_link_sound(&self, server: &str, from: Millis, to: Millis) -> bool {
+        !self
+            .disturbed_links
+            .iter()
+            .any(|(one, begin, end)| one == server && *begin <= to && *end >= from)
+    }
+
     /// Returns whether nothing of `scopes` was disturbed from `from` to `to`.
     pub(crate) fn is_undisturbed(&self, scopes: &[Scope], from: Millis, to: Millis) -> bool {
         !self
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -10,12 +10,14 @@
 use wasabicrank_testutils::relay::Relay;
 use wasabicrank_testutils::server::lock;
 
+use crate::evidence::Millis;
 use crate::evidence::Scope;
 use crate::fleet::Disturbance;
 use crate::fleet::STOP_GRACE;
 use crate::schedule::Fault;
 use crate::schedule::LinkFault;
 use crate::server::Behavior;
+use crate::server::Server;
 use crate::world::CUSTOMERS;
 use crate::world::World;
 
@@ -26,6 +28,8 @@
 /// The downtime of a planned restart, and the upper bound of the downtime after a kill.
 const RESTART_PAUSE: Duration = Duration::from_millis(100);
 const MAX_DOWN_MS: u64 = 2_500;
+/// How long a link that was disturbed may still deliver what it held up.
+const LINK_RECOVERY_MS: Millis = 500;
 /// The number of configuration changes in a storm, and the pause after each.
 const STORM_CHANGES: usize = 8;
 const STORM_PAUSE: Duration = Duration::from_millis(120);
@@ -78,7 +82,9 @@
             }
             Fault::ServerLink { server, link, span } => {
                 let _disturbance = Disturbance::begin(evidence, Scope::Server(server));
-                disturb_link(&self.server(server).relay, link, span).await
+                let target = self.server(server);
+                self.record_link_fault(&target, span);
+                disturb_link(&target.relay, link, span).await
             }
             Fault::ServerManner { server, manner, span } => {
                 let _disturbance = Disturbance::begin(evidence, Scope::Server(server));
@@ -155,6 +161,7 @@
     async fn crash_server(&self, position: usize, span: Duration) -> io::Result<()> {
         let _disturbance = Disturbance::begin(&self.evidence, Scope::Server(position));
         let server = self.server(position);
+        self.record_link_fault(&server, span);
         server.relay.refuse();
         server.drop_tickets();
         sleep(span.min(ENTRY_TTL)).await;
@@ -172,6 +179,13 @@
         server.relay.listen().await
     }
 
+    fn record_link_fault(&self, server: &Server, span: Duration) {
+        let begin = self.evidence.now();
+        let end = begin + span.as_millis() as Millis + LINK_RECOVERY_MS;
+        let id = server.state.id.clone();
+        self.evidence.observations().disturbed_links.push((id, begin, end));
+    }
+
     async fn replace_server(&self, position: usize, in_silence: bool) -> io::Result<()> {
         let _disturbance = Disturbance::begin(&self.evidence, Scope::Server(position));
         let successor = self.start_server(position).await?;
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -11,6 +11,7 @@
 mod faults;
 mod fleet;
 mod http_server;
+mod pauses;
 mod schedule;
 mod server;
 mod store;
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 use crate::server::Behavior;
@@ -50,6 +51,8 @@
 /// One in this many faults is followed shortly by the same kind, mostly on other targets.
 const SERIES_ODDS: u32 = 4;
 
+/// The maximum number of times that servers turn requests away.
+const MAX_PAUSE_FAULTS: u32 = 3;
 /// The number of values to draw a fault kind from; some kinds have two values.
 const KIND_VALUES: u32 = 20;
 
@@ -79,10 +82,33 @@
         }
         at += Duration::from_millis(random.random_range(50..MAX_PAUSE_MS));
     }
+    // Drawn from a generator of its own, so that the other faults of a seed stay the same.
+    let mut pauses = SmallRng::seed_from_u64(random.clone().random());
+    faults.extend(draw_pauses(&mut pauses, span, servers));
     faults.sort_by_key(|(at, _)| *at);
     faults
 }
 
+/// Draws servers that turn requests away and ask for a pause, in about half of all seeds: one server at
+/// a time, or all at once.
+fn draw_pauses(random: &mut SmallRng, span: Duration, servers: usize) -> Vec<(Duration, Fault)> {
+    if random.random() {
+        return Vec::new();
+    }
+    let mut faults = Vec::new();
+    for _ in 0..random.random_range(1..=MAX_PAUSE_FAULTS) {
+        let at = span.mul_f64(random.random_range(0.05..0.95));
+        let manner = Behavior::TurnsAway { pause_ms: random.random_range(600..4_000) };
+        let length = Duration::from_millis(random.random_range(300..3_000));
+        let first = random.random_range(0..servers);
+        let targets = if random.random_range(0..3) == 0 { 0..servers } else { first..first + 1 };
+        faults.extend(
+            targets.map(|server| (at, Fault::ServerManner { server, manner, span: length })),
+        );
+    }
+    faults
+}
+
 fn draw_fault(random: &mut SmallRng, kind: u32, hosts: usize, servers: usize) -> Fault {
     let host = random.random_range(0..hosts);
     let server = random.random_range(0..servers);
--- a/soak/src/server.rs
+++ b/soak/src/server.rs
@@ -28,6 +28,7 @@
 use crate::evidence::Evidence;
 use crate::evidence::Kind;
 use crate::evidence::Millis;
+use crate::evidence::OrderSeen;
 use crate::evidence::Run;
 use crate::http_server::Aborted;
 use crate::http_server::Listening;
@@ -63,10 +64,22 @@
     Confuses,
     /// Declines requests as if all slots were taken.
     Sheds,
+    /// Declines requests and orders, and asks for a pause.
+    TurnsAway { pause_ms: Millis },
     /// Leaves orders unanswered and executes them late.
     LateOrders,
 }
 
+impl Behavior {
+    /// Returns the pause that the server asks for.
+    fn pause(self) -> Option<Millis> {
+        match self {
+            Behavior::TurnsAway { pause_ms } => Some(pause_ms),
+            _ => None,
+        }
+    }
+}
+
 /// A reservation of memory.
 #[derive(Debug, Clone, Copy)]
 struct Ticket {
@@ -179,7 +192,8 @@
         }
         let id = field("x-request-id").unwrap_or_default();
         let is_full = self.running.load(Ordering::SeqCst) >= SLOTS;
-        let declined = is_full || self.behavior() == Behavior::Sheds;
+        let pause = self.behavior().pause();
+        let declined = is_full || pause.is_some() || self.behavior() == Behavior::Sheds;
         let missing = if declined { None } else { self.missing_helper(&head.headers) };
         let is_declined = declined || missing.is_some();
         let at = self.evidence.now();
@@ -192,11 +206,14 @@
             patience: field("x-deadline-ms").and_then(|text| text.parse().ok()),
             at,
             is_declined,
+            pause,
+            holder: helpers(&head.headers).into_iter().find_map(|(_, name)| holder(&name?)),
         });
         if is_declined {
-            let fields = match missing {
-                Some(server) => format!("x-not-executed: 1\nat-server: {server}"),
-                None => "x-not-executed: 1".to_owned(),
+            let fields = match (missing, pause) {
+                (Some(server), _) => format!("x-not-executed: 1\nat-server: {server}"),
+                (None, Some(pause)) => format!("x-not-executed: 1\n{}", retry_after(pause)),
+                (None, None) => "x-not-executed: 1".to_owned(),
             };
             return respond(StatusCode::SERVICE_UNAVAILABLE, &fields, "");
         }
@@ -224,7 +241,10 @@
                 signed(id, ResponseBody::Pieces(receiver))
             }
             Behavior::Confuses => signed("another", full_body(&text)),
-            Behavior::Good | Behavior::Sheds | Behavior::LateOrders => signed(id, full_body(&text)),
+            Behavior::Good
+            | Behavior::Sheds
+            | Behavior::TurnsAway { .. }
+            | Behavior::LateOrders => signed(id, full_body(&text)),
         }
     }
 
@@ -273,6 +293,14 @@
     async fn order(self: Arc<Self>, body: &[u8]) -> Response<ResponseBody> {
         let order: Value = serde_json::from_slice(body).unwrap_or_default();
         let arrived = self.evidence.now();
+        let pause = self.behavior().pause();
+        if let Some(holder) = order["id"].as_str().and_then(holder) {
+            let seen = OrderSeen { server: self.id.clone(), holder, at: arrived, pause };
+            self.evidence.observations().orders.push(seen);
+        }
+        if let Some(pause) = pause {
+            return respond(StatusCode::SERVICE_UNAVAILABLE, &retry_after(pause), "");
+        }
         if self.behavior() == Behavior::LateOrders {
             let state = self.clone();
             tokio::spawn(async move {
@@ -378,6 +406,15 @@
     format!("id: {number}\ndata: {id} part {number}\n\n")
 }
 
+/// Returns the part of a reservation's name that identifies the process that ordered it.
+fn holder(name: &str) -> Option<String> {
+    name.split_once('-').map(|(holder, _)| holder.to_owned())
+}
+
+fn retry_after(pause: Millis) -> String {
+    format!("retry-after: {}", Duration::from_millis(pause).as_secs_f64())
+}
+
 fn helpers(fields: &HeaderMap) -> Vec<(SocketAddr, Option<String>)> {
     let text = field(fields, "x-helpers").unwrap_or_default();
     let helper = |part: &str| {
