--- a/lib/src/protocol/gateway/log_trace.rs
+++ b/lib/src/protocol/gateway/log_trace.rs
@@ -58,8 +58,8 @@
     }
 }
 
-/// Returns the lines of `request` ordered by time, together with the lines about changes of the
-/// servers that they name and, between its first and last line, about the processes and their
+/// Returns the lines of `request` ordered by time, together with the lines about changes and pauses of
+/// the servers that they name and, between its first and last line, about the processes and their
 /// dependencies.
 ///
 /// `logs` contains pairs of a host's name and its log. Lines without a JSON object are skipped.
@@ -92,6 +92,7 @@
         line.text("request") == request
             || (is_within && DEPENDENCY_MESSAGES.contains(&message))
             || (message == "server changed" && names_server())
+            || (message == "server paused" && servers.contains(line.text("server")))
     };
     let mut trace: Vec<TraceLine> =
         lines.iter().filter(is_relevant).map(LogLine::to_trace_line).collect();
--- a/lib/src/state/gateway/pause.rs
+++ b/lib/src/state/gateway/pause.rs
@@ -46,6 +46,12 @@
     }
 
     /// Returns whether `server` must get nothing now.
+    ///
+    /// ```
+    /// use wasabicrank_lib::state::{Moment, ServerId, ServerPauses};
+    /// let server = ServerId { id: "i-1".into(), born: 1 };
+    /// assert!(!ServerPauses::default().is_paused(&server, Moment(0)));
+    /// ```
     pub fn is_paused(&self, server: &ServerId, now: Moment) -> bool {
         self.left(server, now).is_some()
     }
--- a/lib/tests/test_gateway_logs.rs
+++ b/lib/tests/test_gateway_logs.rs
@@ -12,7 +12,9 @@
 {"ts":"13","msg":"request ended","request":"r1","outcome":"cut"}
 {"ts":"14","msg":"store is back"}"#;
 
-const SECOND: &str = r#"{"ts":"09","msg":"server changed","change":"Removed(\"i-7\")"}
+const SECOND: &str = r#"{"ts":"08","msg":"server paused","server":"i-7","pause_ms":2000}
+{"ts":"08","msg":"server paused","server":"i-9","pause_ms":2000}
+{"ts":"09","msg":"server changed","change":"Removed(\"i-7\")"}
 {"ts":"12","msg":"server changed","change":"Removed(\"i-9\")"}"#;
 
 #[test]
@@ -23,6 +25,7 @@
     assert_eq!(
         texts,
         [
+            ("host-2", "server paused pause_ms=2000 server=i-7"),
             ("host-2", "server changed change=Removed(\"i-7\")"),
             ("host-1", "request sent server=i-7 waited_ms=3"),
             ("host-1", "store lost error=silent"),
