--- a/lib/src/coordination/gateway/mod.rs
+++ b/lib/src/coordination/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 pub(crate) mod cluster_view;
 pub(crate) mod departures;
+pub(crate) mod pauses;
 pub(crate) mod peers;
 pub(crate) mod placement;
 pub(crate) mod queue;
@@ -43,6 +44,7 @@
 use crate::state::ServerHealth;
 use crate::state::ServerId;
 use crate::state::ServerLoad;
+use crate::state::ServerPauses;
 use crate::state::ServiceName;
 use crate::state::ZoneName;
 
@@ -75,6 +77,7 @@
     loads: LoadTable,
     health: HashMap<ServerId, ServerHealth>,
     departures: departures::Departures,
+    pauses: ServerPauses,
     budgets: HashMap<ServiceName, GatewayRetryBudget>,
     peers: Peers,
     /// The source's revision up to which the server list is complete.
@@ -103,6 +106,7 @@
             loads: LoadTable::default(),
             health: HashMap::new(),
             departures: departures::Departures::default(),
+            pauses: ServerPauses::default(),
             budgets: HashMap::new(),
             servers_revision: 0,
             servers_change: 0,
--- a/lib/src/transport/gateway/event_relay.rs
+++ b/lib/src/transport/gateway/event_relay.rs
@@ -267,8 +267,9 @@
             Ok(Answer::Response(_)) => return None,
             Err(failure) => {
                 result = match failure.result {
-                    SendResult::Unreached => SendResult::Unreached,
-                    SendResult::Leaving => SendResult::Leaving,
+                    unsent @ (SendResult::Unreached | SendResult::Leaving | SendResult::Paused) => {
+                        unsent
+                    }
                     _ => SendResult::Cut,
                 };
                 dispatch = next;
--- a/lib/src/transport/gateway/exchange.rs
+++ b/lib/src/transport/gateway/exchange.rs
@@ -360,6 +360,9 @@
         if now >= deadline {
             return Err(SendResult::Unreached);
         }
+        if self.ctx.gateway.borrow().is_dispatch_paused(now, &active.dispatch) {
+            return Err(SendResult::Paused);
+        }
         if !self.begin_send(now, &active.dispatch) {
             return Err(SendResult::NoAttempt);
         }
@@ -414,6 +417,7 @@
         body: Incoming,
     ) -> Result<Answer, SendFailure> {
         let facts = self.ctx.dialect.response_facts(&head);
+        self.ctx.record_pause(&active.dispatch.server.id, &facts);
         if facts.not_run {
             let result =
                 SendResult::Declined { at_fault: facts.at_fault, retry_after: facts.retry_after };
--- a/lib/src/transport/gateway/exchange_log.rs
+++ b/lib/src/transport/gateway/exchange_log.rs
@@ -199,6 +199,7 @@
         SendResult::NoMemory => "no_memory",
         SendResult::NoAttempt => "no_attempt",
         SendResult::Leaving => "leaving",
+        SendResult::Paused => "paused",
         SendResult::Declined { .. } => "declined",
         SendResult::Failed => "failed",
         SendResult::Lost => "lost",
--- a/lib/src/transport/gateway/successor.rs
+++ b/lib/src/transport/gateway/successor.rs
@@ -144,6 +144,7 @@
                 SendResult::Unreached
                     | SendResult::NoMemory
                     | SendResult::Leaving
+                    | SendResult::Paused
                     | SendResult::NoAttempt
             );
             unsent += u32::from(!was_sent);
