gateway: order the source's points by era and read all anew after a rewind

Cause: a store that is restored from an older copy gives its revisions out again. Hosts took the maximum over the process's life, went on with the watch from before, took a configuration under a reused revision for the old one, gave work back to servers that had left, and a host that started accepted a revoked key. Change: every response's Store-Era is decoded in the adapter; updates carry a point (era, revision); the gateway ignores lower eras, reads configuration and servers whole on a higher one, keeps the version in force, holds back entries of the copy and gives missing servers the time after an outage. Summaries end with the era, which older builds ignore. A starting host waits up to 0.5 s for its seeds. One log line and the counter source_rewinds.

--- a/lib/src/coordination/gateway/cluster_view.rs
+++ b/lib/src/coordination/gateway/cluster_view.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::Gateway;
+use super::ListedServer;
 use super::PeerSummary;
 use super::ReceivedSummary;
 use super::ServerChange;
@@ -12,7 +13,7 @@
 use super::SummaryScope;
 use crate::state::Catalog;
 use crate::state::Moment;
-use crate::state::Server;
+use crate::state::SourceEra;
 
 /// The effect of a configuration that was read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,10 +29,13 @@
 impl Gateway {
     /// Installs a configuration that a read sent at `sent` returned.
     ///
-    /// A version older than the one in force is ignored and verifies nothing.
+    /// A version older than the one in force, or than one that a live peer had before the read, is
+    /// ignored and verifies nothing: the source was restored from an older copy.
     pub fn install_catalog(&mut self, catalog: Catalog, sent: Moment) -> CatalogChange {
         let current = self.catalog.as_ref().map(|catalog| catalog.version());
-        if current.is_some_and(|version| catalog.version() < version) {
+        let is_older = current.is_some_and(|version| catalog.version() < version);
+        if is_older || self.is_superseded(catalog.version(), sent) {
+            self.record_outdated_read(sent);
             return CatalogChange::Older;
         }
         self.verify_freshness(sent);
@@ -44,9 +48,24 @@
 
     /// Records that a read sent at `sent` returned `version` as the newest one.
     pub fn verify_catalog(&mut self, version: u64, sent: Moment) {
-        if self.catalog.as_ref().is_some_and(|catalog| catalog.version() == version) {
+        if !self.verify_version(version, sent) {
+            self.record_outdated_read(sent);
+        }
+    }
+
+    /// Verifies the configuration if `version` is in force and was the newest one at `sent`.
+    fn verify_version(&mut self, version: u64, sent: Moment) -> bool {
+        let is_in_force = self.catalog.as_ref().is_some_and(|catalog| catalog.version() == version);
+        let is_newest = is_in_force && !self.is_superseded(version, sent);
+        if is_newest {
             self.verify_freshness(sent);
         }
+        is_newest
+    }
+
+    /// Returns whether a live peer had a newer version at `sent`.
+    fn is_superseded(&self, version: u64, sent: Moment) -> bool {
+        self.peers.newest_version_at(sent) > version
     }
 
     fn verify_freshness(&mut self, sent: Moment) {
@@ -54,6 +73,9 @@
             self.outages += 1;
         }
         self.freshness.verify(sent);
+        if self.source.outdated_read.is_some_and(|read| sent > read.sent) {
+            self.source.outdated_read = None;
+        }
     }
 
     /// Returns the number of outages of the configuration source that have ended.
@@ -75,10 +97,24 @@
         is_changed
     }
 
-    /// Replaces the whole server list.
-    pub fn replace_servers(&mut self, listed: Vec<Server>, had_outage: bool, now: Moment) {
+    /// Replaces the whole server list by the one that the source had at `list_revision`.
+    ///
+    /// After the source was restored, the first list shows up to which revision entries may be
+    /// those of the older copy, and missing servers stay as after an outage.
+    pub fn replace_servers(
+        &mut self,
+        listed: Vec<ListedServer>,
+        list_revision: u64,
+        had_outage: bool,
+        now: Moment,
+    ) {
+        let is_restored = std::mem::take(&mut self.source.awaits_list);
+        if is_restored {
+            self.source.copied_revision = Some(list_revision);
+        }
+        let listed = self.servers.without_copies(listed, self.source.copied_revision);
         let grace = self.relist_grace();
-        self.servers.replace(listed, had_outage.then_some(grace), now);
+        self.servers.replace(listed, (had_outage || is_restored).then_some(grace), now);
         self.forget_removed_servers();
     }
 
@@ -114,7 +150,7 @@
             version: self.catalog.as_ref().map_or(0, |catalog| catalog.version()),
             age: self.freshness.age(now),
             is_usable: self.freshness.is_usable(now),
-            servers_change: self.servers_change,
+            servers_change: self.servers_change(),
             queued: self.queue.queued_prefill(),
             demand: self.demand.rate(now),
             known,
@@ -126,32 +162,26 @@
     ///
     /// If the peer verified the version in force, this host counts it as verified too, as of the
     /// lower bound of the summary's send time less the age that the summary states.
-    pub fn apply_summary(&mut self, now: Moment, received: ReceivedSummary) -> bool {
-        let summary = &received.summary;
+    pub fn apply_summary(&mut self, now: Moment, mut received: ReceivedSummary) -> bool {
+        let summary = &mut received.summary;
         if summary.incarnation == self.peers.incarnation() {
             return false;
         }
-        if let (Some(age), Some(sent)) = (summary.age, self.peers.sent_after(summary)) {
+        let era = summary.servers_change.era;
+        // Peers of older builds state no era.
+        let is_current = era == SourceEra::default() || self.observe_source_era(era);
+        summary.servers_change = self.comparable_change(summary.servers_change);
+        if let (Some(age), Some(sent)) = (summary.age, self.peers.sent_after(summary))
+            && is_current
+        {
             let verified = sent.0.saturating_sub(age.as_micros() as u64);
-            self.verify_catalog(summary.version, Moment(verified));
+            self.verify_version(summary.version, Moment(verified));
         }
         let loads = summary.loads.iter().copied();
         self.loads.apply_summary(summary.incarnation, loads, now);
         self.peers.apply_summary(now, received)
     }
 
-    /// Returns whether a peer knows of a server list change that this host has not received.
-    pub fn misses_server_change(&self, now: Moment) -> bool {
-        self.peers.newest_server_change(now) > self.servers_revision
-    }
-
-    /// Records that the server list is complete up to the source's revision `list_revision`, and
-    /// the revision of its newest change.
-    pub fn record_server_revisions(&mut self, list_revision: u64, change: Option<u64>) {
-        self.servers_revision = self.servers_revision.max(list_revision);
-        self.servers_change = self.servers_change.max(change.unwrap_or(0));
-    }
-
     /// Returns the addresses of known and possible peers.
     pub fn peer_addresses(&self, now: Moment) -> Vec<Ipv4Addr> {
         self.peers.addresses(now)
--- a/lib/src/coordination/gateway/mod.rs
+++ b/lib/src/coordination/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod request;
 pub(crate) mod retry;
 pub(crate) mod servers;
+pub(crate) mod source_view;
 pub(crate) mod stop;
 
 pub use cluster_view::*;
@@ -75,10 +76,7 @@
     health: HashMap<ServerId, ServerHealth>,
     budgets: HashMap<ServiceName, GatewayRetryBudget>,
     peers: Peers,
-    /// The source's revision up to which the server list is complete.
-    servers_revision: u64,
-    /// The source's revision of the newest change of the server list.
-    servers_change: u64,
+    source: source_view::SourceView,
     queue: WaitQueue,
     demand: PrefillDemand,
     next_send: u64,
@@ -101,8 +99,7 @@
             loads: LoadTable::default(),
             health: HashMap::new(),
             budgets: HashMap::new(),
-            servers_revision: 0,
-            servers_change: 0,
+            source: source_view::SourceView::default(),
             queue: WaitQueue::default(),
             demand: PrefillDemand::default(),
             next_send: 0,
--- a/lib/src/coordination/gateway/peers.rs
+++ b/lib/src/coordination/gateway/peers.rs
@@ -7,6 +7,7 @@
 
 use crate::state::Moment;
 use crate::state::ServerLoad;
+use crate::state::SourcePoint;
 use crate::state::ZoneName;
 use crate::state::short_digest;
 
@@ -29,6 +30,9 @@
 const CROSS_ZONE_INTERVAL_PER_PEER: Duration = Duration::from_millis(10);
 /// The longest interval between two summaries to any peer.
 const MAX_SUMMARY_INTERVAL: Duration = Duration::from_millis(400);
+/// How long a starting host waits for its seeds before it reads the configuration: a live peer sends
+/// a summary within [`MAX_SUMMARY_INTERVAL`].
+const START_WAIT: Duration = Duration::from_millis(500);
 /// The maximum number of peers that are stored.
 const MAX_PEERS: usize = 1_000;
 
@@ -58,8 +62,8 @@
     pub age: Option<Duration>,
     /// Whether it may admit requests by that configuration.
     pub is_usable: bool,
-    /// The revision of the newest server list change that it knows of.
-    pub servers_change: u64,
+    /// The newest server list change that it knows of, in the newest era that it knows of.
+    pub servers_change: SourcePoint,
     /// The summed prefill time of its queued requests.
     pub queued: Duration,
     /// The seconds of engine prefill that it starts per second.
@@ -107,7 +111,9 @@
     last_heard: Moment,
     is_usable: bool,
     version: u64,
-    servers_change: u64,
+    /// When this host first received that version from it.
+    version_since: Moment,
+    servers_change: SourcePoint,
     queued: Duration,
     demand: f64,
 }
@@ -120,6 +126,8 @@
     sequence: u64,
     /// When a summary was last sent to all peers.
     last_broadcast: Option<Moment>,
+    /// When the first summary was sent.
+    first_sent: Option<Moment>,
     /// The sequence numbers and send times of the latest messages, oldest first.
     sent: VecDeque<(u64, Moment)>,
     own_address: Option<Ipv4Addr>,
@@ -136,6 +144,7 @@
             zone: short_digest(&[zone.as_str().as_bytes()]),
             sequence: 0,
             last_broadcast: None,
+            first_sent: None,
             sent: VecDeque::new(),
             own_address: None,
             seeds: Vec::new(),
@@ -161,6 +170,7 @@
     /// hosts.
     pub(crate) fn begin_message(&mut self, now: Moment) -> (u64, Vec<HostAck>) {
         self.sequence += 1;
+        self.first_sent.get_or_insert(now);
         self.sent.push_back((self.sequence, now));
         if self.sent.len() > SENT_HISTORY {
             self.sent.pop_front();
@@ -196,6 +206,9 @@
         if is_stale {
             return false;
         }
+        let version_since = before
+            .filter(|peer| peer.version == summary.version)
+            .map_or(now, |peer| peer.version_since);
         let is_new = before.is_none_or(|peer| now.since(peer.last_heard) > PEER_TTL);
         if is_new {
             self.peers.retain(|_, peer| now.since(peer.last_heard) <= PEER_RETENTION);
@@ -213,6 +226,7 @@
             last_heard: now,
             is_usable: summary.is_usable,
             version: summary.version,
+            version_since,
             servers_change: summary.servers_change,
             queued: summary.queued,
             demand: summary.demand,
@@ -288,9 +302,25 @@
         self.live(now).map(|peer| peer.version).max().unwrap_or(0)
     }
 
-    /// Returns the revision of the newest server list change that a live peer knows of.
-    pub(crate) fn newest_server_change(&self, now: Moment) -> u64 {
-        self.live(now).map(|peer| peer.servers_change).max().unwrap_or(0)
+    /// Returns the newest configuration version that a live peer was known to have at `at`.
+    pub(crate) fn newest_version_at(&self, at: Moment) -> u64 {
+        let known = self.live(at).filter(|peer| peer.version_since <= at);
+        known.map(|peer| peer.version).max().unwrap_or(0)
+    }
+
+    /// Returns the newest server list change that a live peer knows of.
+    pub(crate) fn newest_server_change(&self, now: Moment) -> SourcePoint {
+        self.live(now).map(|peer| peer.servers_change).max().unwrap_or_default()
+    }
+
+    /// Returns how long a starting host still waits for the first summaries of its seeds.
+    pub(crate) fn start_wait(&self, now: Moment) -> Duration {
+        let is_known =
+            |seed: &Ipv4Addr| Some(*seed) == self.own_address || self.peers.contains_key(seed);
+        if self.seeds.iter().all(is_known) {
+            return Duration::ZERO;
+        }
+        self.first_sent.map_or(START_WAIT, |at| (at + START_WAIT).since(now))
     }
 
     /// Returns whether this host is first in the order that all hosts share, among the live ones.
--- a/lib/src/coordination/gateway/read_schedule.rs
+++ b/lib/src/coordination/gateway/read_schedule.rs
@@ -38,10 +38,26 @@
     ///
     /// One host reads often and verifies the version for all. The others take over in turn when
     /// they have not received a verification for a while, and read at once when a peer has a newer
-    /// version.
+    /// version or the source was restored from an older copy. A starting host first waits for the
+    /// versions of its peers.
     pub fn catalog_read_in(&self, now: Moment) -> Duration {
+        if self.catalog.is_none() {
+            let wait = self.peers.start_wait(now);
+            if !wait.is_zero() {
+                return wait;
+            }
+        }
+        if self.source.is_unread() {
+            return Duration::ZERO;
+        }
         let version = self.catalog.as_ref().map_or(0, |catalog| catalog.version());
-        if self.peers.newest_version(now) > version {
+        let newest = self.peers.newest_version(now);
+        if let Some(read) = self.source.outdated_read
+            && newest <= read.newest
+        {
+            return (read.sent + self.outdated_pause(now)).since(now);
+        }
+        if newest > version {
             return Duration::ZERO;
         }
         if self.catalog.is_none() {
@@ -56,9 +72,20 @@
         self.freshness.age(now).map_or(Duration::ZERO, |age| limit.saturating_sub(age))
     }
 
+    /// Returns the pause after a read that returned an older version than a host has.
+    fn outdated_pause(&self, now: Moment) -> Duration {
+        match self.peers.rank(now) {
+            0 => FIRST_HOST_POLL,
+            _ => self.bounds.config.mul_f64(TAKEOVER_FRACTION),
+        }
+    }
+
     /// Records that a read sent at `sent` found no configuration.
     pub fn record_no_catalog(&mut self, sent: Moment) {
         self.empty_read = Some(sent);
+        if self.catalog.is_some() {
+            self.record_outdated_read(sent);
+        }
     }
 
     /// Returns how long a watch of the server list may wait.
--- a/lib/src/protocol/gateway/load_wire.rs
+++ b/lib/src/protocol/gateway/load_wire.rs
@@ -10,6 +10,8 @@
 use crate::coordination::PeerSummary;
 use crate::state::GapClass;
 use crate::state::ServerLoad;
+use crate::state::SourceEra;
+use crate::state::SourcePoint;
 
 /// Version of the datagram format; datagrams of other versions are dropped.
 const WIRE_VERSION: u8 = 2;
@@ -39,6 +41,14 @@
     loads: Vec<WireLoad>,
 }
 
+/// What follows the summary in a datagram. Builds that do not know it ignore these bytes, and their
+/// own datagrams end before them.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct WireSuffix {
+    /// The era of `servers_change`.
+    era: u64,
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 struct WireAck {
     address: [u8; 4],
@@ -71,7 +81,8 @@
 ///
 /// Returns postcard's error, which encoding a [`PeerSummary`] does not cause.
 pub fn encode_summary(summary: &PeerSummary) -> Result<Vec<u8>, postcard::Error> {
-    postcard::to_stdvec(&WireSummary::from(summary))
+    let suffix = WireSuffix { era: summary.servers_change.era.0 };
+    postcard::to_stdvec(&(WireSummary::from(summary), suffix))
 }
 
 /// Decodes a datagram.
@@ -86,8 +97,15 @@
         Some(&version) => return Err(DatagramError::OtherVersion(version)),
         None => return Err(DatagramError::Malformed),
     }
-    let wire: WireSummary = postcard::from_bytes(datagram).map_err(|_| DatagramError::Malformed)?;
-    Ok(PeerSummary::from(wire))
+    let malformed = |_| DatagramError::Malformed;
+    let (wire, rest): (WireSummary, _) = postcard::take_from_bytes(datagram).map_err(malformed)?;
+    let suffix: WireSuffix = match rest {
+        [] => WireSuffix::default(),
+        rest => postcard::from_bytes(rest).map_err(malformed)?,
+    };
+    let mut summary = PeerSummary::from(wire);
+    summary.servers_change.era = SourceEra(suffix.era);
+    Ok(summary)
 }
 
 fn millis(duration: Duration) -> u32 {
@@ -121,7 +139,7 @@
             catalog_version: summary.version,
             age_ms: summary.age.map(age_millis),
             is_usable: summary.is_usable,
-            servers_change: summary.servers_change,
+            servers_change: summary.servers_change.revision,
             queued_ms: millis(summary.queued),
             demand: summary.demand as f32,
             known: known.collect(),
@@ -153,7 +171,7 @@
             version: wire.catalog_version,
             age: wire.age_ms.map(|age| Duration::from_millis(age.into())),
             is_usable: wire.is_usable,
-            servers_change: wire.servers_change,
+            servers_change: SourcePoint { revision: wire.servers_change, ..SourcePoint::default() },
             queued: Duration::from_millis(wire.queued_ms.into()),
             demand: f64::from(wire.demand),
             known: known.collect(),
--- a/lib/src/state/gateway/mod.rs
+++ b/lib/src/state/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod health;
 pub(crate) mod load_table;
 pub(crate) mod server;
+pub(crate) mod source_era;
 pub(crate) mod ticket_renewal;
 
 pub use budget::*;
@@ -23,4 +24,5 @@
 pub use health::*;
 pub use load_table::*;
 pub use server::*;
+pub use source_era::*;
 pub use ticket_renewal::*;
--- a/lib/src/transport/gateway/context.rs
+++ b/lib/src/transport/gateway/context.rs
@@ -15,6 +15,7 @@
 use crate::coordination::Gateway;
 use crate::coordination::StopPhase;
 use crate::state::Moment;
+use crate::state::SourceEra;
 
 /// The shared state.
 pub(crate) struct GatewayContext {
@@ -31,7 +32,7 @@
     /// Notified when this host sends a long prompt to engines, which all peers must know at once.
     pub(crate) urgent_summary: Notify,
     /// Notified when the read schedule may have changed: a peer knows a newer configuration or server
-    /// list, or an outage of the source is over.
+    /// list, or an outage of the source is over, or the source was restored.
     pub(crate) schedule_changed: Notify,
     /// Notified when this host's load changes, so that a summary is sent to peers.
     pub(crate) load_changed: Notify,
@@ -53,6 +54,12 @@
         self.gateway.borrow().stop_phase(self.now()) != StopPhase::Running
     }
 
+    /// Notifies the reads of the source, and the peers at once, that the source was restored.
+    pub(crate) fn notify_rewind(&self) {
+        self.schedule_changed.notify_waiters();
+        self.urgent_summary.notify_one();
+    }
+
     /// Notifies queued requests and the peer summaries that the load has changed.
     pub(crate) fn notify_load_change(&self) {
         self.capacity_freed.notify_waiters();
@@ -81,6 +88,10 @@
         self.gateway.borrow().outages()
     }
 
+    fn source_era(&self) -> SourceEra {
+        self.gateway.borrow().source_era()
+    }
+
     fn changed(&self) -> Pin<Box<dyn Future<Output = ()> + '_>> {
         Box::pin(self.schedule_changed.notified())
     }
--- a/lib/src/transport/gateway/fleet_source.rs
+++ b/lib/src/transport/gateway/fleet_source.rs
@@ -7,10 +7,12 @@
 
 use tokio::sync::mpsc;
 
+use crate::coordination::ListedServer;
 use crate::coordination::ServerChange;
 use crate::state::Catalog;
 use crate::state::Moment;
-use crate::state::Server;
+use crate::state::SourceEra;
+use crate::state::SourcePoint;
 
 /// How many updates may be queued for the gateway.
 pub(crate) const UPDATE_QUEUE_LEN: usize = 64;
@@ -24,6 +26,8 @@
         catalog: Box<Catalog>,
         /// When the read was sent.
         sent: Moment,
+        /// Where it stands in the history of the source.
+        point: SourcePoint,
     },
     /// A read showed that this version of the configuration is still the newest.
     CatalogVerified {
@@ -31,31 +35,47 @@
         version: u64,
         /// When the read was sent.
         sent: Moment,
+        /// Where it stands in the history of the source.
+        point: SourcePoint,
+    },
+    /// A read found no configuration.
+    NoCatalog {
+        /// When the read was sent.
+        sent: Moment,
+        /// The era of the source.
+        era: SourceEra,
+    },
+    /// The configuration is invalid.
+    CatalogRejected {
+        /// Why it is invalid.
+        fault: String,
+        /// Where it stands in the history of the source.
+        point: SourcePoint,
     },
-    /// A read sent at this time found no configuration.
-    NoCatalog(Moment),
-    /// The configuration is invalid, for this reason.
-    CatalogRejected(String),
     /// The complete server list.
     Servers {
         /// The servers.
-        listed: Vec<Server>,
+        listed: Vec<ListedServer>,
         /// The source's revision that the list reflects.
         list_revision: u64,
         /// The revision of the list's newest entry.
         newest_entry: u64,
         /// Whether the source was unavailable before this read.
         had_outage: bool,
+        /// The era of the source.
+        era: SourceEra,
     },
     /// One change of the server list.
     Server {
         /// The change.
         change: ServerChange,
-        /// The source's revision of the change.
-        revision: u64,
+        /// Where it stands in the history of the source.
+        point: SourcePoint,
     },
-    /// All changes of the server list up to this revision of the source have been reported.
-    ServersProgress(u64),
+    /// All changes of the server list up to this point of the source have been reported.
+    ServersProgress(SourcePoint),
+    /// A response of the source states this era, which is higher than the known one.
+    EraSeen(SourceEra),
     /// An invalid entry of the server list was skipped; the other entries are used.
     EntrySkipped {
         /// The entry's key.
@@ -71,6 +91,33 @@
     SourceRecovered,
 }
 
+impl FleetUpdate {
+    /// Returns the era of the source that the update is from.
+    ///
+    /// ```
+    /// use wasabicrank_lib::state::SourceEra;
+    /// use wasabicrank_lib::transport::FleetUpdate;
+    /// assert_eq!(FleetUpdate::EraSeen(SourceEra(3)).era(), Some(SourceEra(3)));
+    /// assert_eq!(FleetUpdate::SourceRecovered.era(), None);
+    /// ```
+    pub fn era(&self) -> Option<SourceEra> {
+        match self {
+            FleetUpdate::Catalog { point, .. }
+            | FleetUpdate::CatalogVerified { point, .. }
+            | FleetUpdate::CatalogRejected { point, .. }
+            | FleetUpdate::Server { point, .. }
+            | FleetUpdate::ServersProgress(point) => Some(point.era),
+            FleetUpdate::NoCatalog { era, .. }
+            | FleetUpdate::Servers { era, .. }
+            | FleetUpdate::EraSeen(era) => Some(*era),
+            FleetUpdate::EntrySkipped { .. }
+            | FleetUpdate::WatchEnded(_)
+            | FleetUpdate::SourceUnavailable(_)
+            | FleetUpdate::SourceRecovered => None,
+        }
+    }
+}
+
 /// A task that runs as long as the process.
 pub type LocalTask = Pin<Box<dyn Future<Output = ()>>>;
 
@@ -92,6 +139,10 @@
     /// never be answered.
     fn outages(&self) -> u64;
 
+    /// Returns the newest era of the source that this host or a peer has seen. Responses of an older
+    /// era must not be used.
+    fn source_era(&self) -> SourceEra;
+
     /// Completes when the results of the other methods may have changed.
     fn changed(&self) -> Pin<Box<dyn Future<Output = ()> + '_>>;
 }
--- a/lib/src/transport/gateway/peer_socket.rs
+++ b/lib/src/transport/gateway/peer_socket.rs
@@ -73,6 +73,7 @@
                 let incarnation = summary.incarnation;
                 let received = ReceivedSummary { from: *from.ip(), summary };
                 let outages = ctx.gateway.borrow().outages();
+                let rewinds = ctx.gateway.borrow().source_rewinds();
                 let is_new = ctx.gateway.borrow_mut().apply_summary(now, received);
                 let gateway = ctx.gateway.borrow();
                 if gateway.misses_server_change(now)
@@ -81,6 +82,9 @@
                 {
                     ctx.schedule_changed.notify_waiters();
                 }
+                if gateway.source_rewinds() != rewinds {
+                    ctx.notify_rewind();
+                }
                 if is_new {
                     info!(ctx.telemetry.log(), "peer heard"; "peer" => %IpAddr::V4(*from.ip()),
                         "incarnation" => incarnation);
--- a/lib/src/transport/gateway/process.rs
+++ b/lib/src/transport/gateway/process.rs
@@ -35,6 +35,7 @@
 use crate::coordination::Gateway;
 use crate::coordination::StopPhase;
 use crate::protocol::GatewaySettings;
+use crate::state::SourcePoint;
 
 /// Buffered request bodies may use the process's memory divided by this number.
 const BODY_MEMORY_DIVISOR: u64 = 6;
@@ -265,10 +266,18 @@
 fn apply_update(ctx: &GatewayContext, update: FleetUpdate) {
     let now = ctx.now();
     let log = ctx.telemetry.log();
-    let outages = ctx.gateway.borrow().outages();
     let mut gateway = ctx.gateway.borrow_mut();
+    let (outages, rewinds) = (gateway.outages(), gateway.source_rewinds());
+    if let Some(era) = update.era()
+        && !gateway.observe_source_era(era)
+    {
+        info!(log, "an update of an older era was ignored"; "era" => era.0,
+            "newest_era" => gateway.source_era().0);
+        return;
+    }
     match update {
-        FleetUpdate::Catalog { catalog, sent } => {
+        FleetUpdate::Catalog { catalog, sent, point } => {
+            report_rewind(log, &mut gateway, point, catalog.version());
             let version = catalog.version();
             let routes = catalog.route_count();
             match gateway.install_catalog(*catalog, sent) {
@@ -284,23 +293,29 @@
                 CatalogChange::Same => {}
             }
         }
-        FleetUpdate::CatalogVerified { version, sent } => {
+        FleetUpdate::CatalogVerified { version, sent, point } => {
+            report_rewind(log, &mut gateway, point, version);
             gateway.verify_catalog(version, sent);
             // Peers rely on this host's summary for how fresh their configuration is.
             ctx.load_changed.notify_one();
         }
-        FleetUpdate::NoCatalog(sent) => gateway.record_no_catalog(sent),
-        FleetUpdate::CatalogRejected(fault) => {
+        FleetUpdate::NoCatalog { sent, era } => {
+            report_rewind(log, &mut gateway, SourcePoint { era, revision: 0 }, 0);
+            gateway.record_no_catalog(sent);
+        }
+        FleetUpdate::CatalogRejected { fault, point } => {
+            report_rewind(log, &mut gateway, point, 0);
             warn!(log, "configuration rejected"; "fault" => fault);
         }
-        FleetUpdate::Servers { listed, list_revision, newest_entry, had_outage } => {
+        FleetUpdate::Servers { listed, list_revision, newest_entry, had_outage, era } => {
             info!(log, "servers listed"; "servers" => listed.len(), "revision" => list_revision,
-                "had_outage" => had_outage);
+                "era" => era.0, "had_outage" => had_outage);
             gateway.record_server_revisions(list_revision, Some(newest_entry));
-            gateway.replace_servers(listed, had_outage, now);
+            gateway.replace_servers(listed, list_revision, had_outage, now);
             ctx.capacity_freed.notify_waiters();
         }
-        FleetUpdate::Server { change, revision } => {
+        FleetUpdate::Server { change, point } => {
+            let revision = point.revision;
             let text = format!("{change:?}");
             gateway.record_server_revisions(revision, Some(revision));
             if gateway.apply_server(change) {
@@ -310,7 +325,10 @@
                 ctx.capacity_freed.notify_waiters();
             }
         }
-        FleetUpdate::ServersProgress(revision) => gateway.record_server_revisions(revision, None),
+        FleetUpdate::ServersProgress(point) => {
+            gateway.record_server_revisions(point.revision, None);
+        }
+        FleetUpdate::EraSeen(_) => {}
         FleetUpdate::EntrySkipped { key, fault } => {
             if let Some(log) = ctx.telemetry.limited_log(now, LineKind::Success) {
                 warn!(log, "entry skipped"; "key" => key, "fault" => fault);
@@ -328,4 +346,18 @@
     if gateway.outages() != outages {
         ctx.schedule_changed.notify_waiters();
     }
+    if gateway.source_rewinds() != rewinds {
+        ctx.notify_rewind();
+    }
+}
+
+/// Logs the first read of the configuration, which returned `version` (0 if none that is valid),
+/// since the source was restored.
+fn report_rewind(log: &Logger, gateway: &mut Gateway, point: SourcePoint, version: u64) {
+    let held = gateway.catalog().map_or(0, |catalog| catalog.version());
+    if let Some(before) = gateway.record_catalog_read(point.era) {
+        warn!(log, "store came back from an older copy"; "era_before" => before.0,
+            "era" => point.era.0, "revision" => point.revision, "catalog_version" => held,
+            "catalog_version_read" => version);
+    }
 }
--- a/lib/src/transport/gateway/telemetry.rs
+++ b/lib/src/transport/gateway/telemetry.rs
@@ -79,6 +79,7 @@
     first_event: Family<SizeLabel, Histogram>,
     waited: Histogram,
     dropped_lines: Counter,
+    rewinds: Counter,
     pub(crate) gauges: Gauges,
 }
 
@@ -120,6 +121,9 @@
         );
         let dropped_lines = Counter::default();
         registry.register("log_lines_dropped", "Log lines left out", dropped_lines.clone());
+        let rewinds = Counter::default();
+        let help = "Rises of the source's era: it was restored from an older copy";
+        registry.register("source_rewinds", help, rewinds.clone());
         let gauges = Gauges::default();
         let named = [
             ("catalog_version", "Version of the configuration", &gauges.catalog_version),
@@ -145,6 +149,7 @@
             first_event,
             waited,
             dropped_lines,
+            rewinds,
             gauges,
         }
     }
@@ -203,6 +208,11 @@
         self.waited.observe(time.as_secs_f64());
     }
 
+    /// Sets the number of rewinds of the source.
+    pub(crate) fn set_rewinds(&self, rewinds: u64) {
+        self.rewinds.inc_by(rewinds.saturating_sub(self.rewinds.get()));
+    }
+
     /// Returns all metrics in the text format.
     pub(crate) fn render(&self) -> String {
         let mut text = String::new();
