soak: rewind the store to a copy some seconds old

The store of the soak could lose nothing that it had acknowledged. In half of the seeds it now comes back from a copy 0.3 to 8 s old with the next era, and what its writers wrote since is written again within 1.2 s. Other faults of a seed stay as they were.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -132,8 +132,20 @@
             );
         }
         let left = self.observations.left.get(&run.server)?;
-        let is_late = run.at > left + DRAIN_MS + SCHEDULING_SLACK_MS && !run.is_declined;
+        let known = left + DRAIN_MS + SCHEDULING_SLACK_MS;
+        let is_late = run.at > known && !run.is_declined;
         let from = left.saturating_sub(STABILIZATION_MS);
+        let is_rewound = |at: &Millis| *at > known && *at < sent.at;
+        if is_late
+            && self.observations.rewinds.iter().any(is_rewound)
+            && self.is_connected(sent.host, from, known)
+            && self.observations.is_undisturbed(&[Scope::Host(sent.host)], from, run.at)
+        {
+            return Some(format!(
+                "reached server {} after a rewind; it departed at {left} ms",
+                run.server
+            ));
+        }
         (is_late && self.is_connected(sent.host, from, run.at))
             .then(|| format!("reached server {}, which departed at {left} ms", run.server))
     }
--- a/soak/src/evidence.rs
+++ b/soak/src/evidence.rs
@@ -128,6 +128,8 @@
     pub(crate) revoked: HashMap<String, Millis>,
     /// When a route was written to the store, by its path.
     pub(crate) added: HashMap<String, Millis>,
+    /// When the store was restored from an older copy.
+    pub(crate) rewinds: Vec<Millis>,
     /// Planned stops: the host, its start count, when it was signalled, and when it exited, if in time.
     pub(crate) stops: Vec<(usize, u64, Millis, Option<Millis>)>,
     pub(crate) violations: Vec<String>,
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -1,9 +1,13 @@
 //! Injects each fault into the hosts, links, store and servers of a soak.
 
+use std::collections::HashMap;
 use std::io;
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use tokio::time::sleep;
 use wasabicrank_testutils::process::Signal;
 use wasabicrank_testutils::relay::Link;
@@ -16,6 +20,7 @@
 use crate::schedule::Fault;
 use crate::schedule::LinkFault;
 use crate::server::Behavior;
+use crate::store::Write;
 use crate::world::CUSTOMERS;
 use crate::world::World;
 
@@ -26,6 +31,8 @@
 /// The downtime of a planned restart, and the upper bound of the downtime after a kill.
 const RESTART_PAUSE: Duration = Duration::from_millis(100);
 const MAX_DOWN_MS: u64 = 2_500;
+/// The time after a rewind within which what is lost is written again.
+const MAX_REWRITE_MS: u64 = 1_200;
 /// The number of configuration changes in a storm, and the pause after each.
 const STORM_CHANGES: usize = 8;
 const STORM_PAUSE: Duration = Duration::from_millis(120);
@@ -76,6 +83,10 @@
                 self.store.compact();
                 Ok(())
             }
+            Fault::Rewind { away, age } => {
+                self.rewind_store(away, age, seed).await;
+                Ok(())
+            }
             Fault::ServerLink { server, link, span } => {
                 let _disturbance = Disturbance::begin(evidence, Scope::Server(server));
                 disturb_link(&self.server(server).relay, link, span).await
@@ -110,6 +121,30 @@
         }
     }
 
+    /// Restores the store from an older copy; the operator and the servers then write again what is
+    /// lost.
+    async fn rewind_store(&self, away: Duration, age: Duration, seed: u64) {
+        let _disturbance = Disturbance::begin(&self.evidence, Scope::Store);
+        self.store.set_busy(true);
+        sleep(away).await;
+        let lost = self.store.rewind(age);
+        let copied = self.store.revision();
+        let now = self.evidence.now();
+        self.evidence.observations().rewinds.push(now);
+        self.store.set_busy(false);
+        let mut random = SmallRng::seed_from_u64(seed);
+        let last: HashMap<String, Write> =
+            lost.into_iter().map(|write| (write.key.clone(), write)).collect();
+        let writes = last.into_values().map(|write| {
+            let pause = Duration::from_millis(random.random_range(0..MAX_REWRITE_MS));
+            async move {
+                sleep(pause).await;
+                self.store.restore(&write, copied);
+            }
+        });
+        join_all(writes.collect::<Vec<_>>()).await;
+    }
+
     async fn kill(&self, host: usize, down: Duration) -> io::Result<()> {
         let killed = &self.hosts[host];
         let Some(_claim) = killed.claim() else { return Ok(()) };
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -73,7 +73,8 @@
 /// not start.
 pub async fn run(setup: &SoakSetup) -> io::Result<SoakReport> {
     let mut random = SmallRng::seed_from_u64(setup.seed);
-    let faults = schedule::draw_faults(&mut random, setup.span, setup.hosts, World::server_count());
+    let mut faults =
+        schedule::draw_faults(&mut random, setup.span, setup.hosts, World::server_count());
     let world = Arc::new(World::start(setup).await?);
     let background = start_background(setup, &world, random.random());
     let tasks = faults.iter().map(|(at, fault)| {
@@ -84,7 +85,18 @@
             world.inject(fault, seed).await
         }
     });
-    world::run_all(tasks).await?;
+    let rewinds = schedule::draw_rewinds(setup.seed, setup.span);
+    let rewinding = rewinds.iter().map(|(at, fault)| {
+        let (world, at, fault, seed) = (world.clone(), *at, *fault, setup.seed);
+        async move {
+            sleep(at).await;
+            world.inject(fault, seed).await
+        }
+    });
+    let (faulted, rewound) =
+        tokio::join!(world::run_all(tasks), world::run_all(rewinding.collect::<Vec<_>>()));
+    faulted.and(rewound)?;
+    faults.extend(rewinds);
     world.clear_faults().await?;
     let faults_ended = world.evidence.now();
     sleep(AFTERWARDS).await;
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 use crate::server::Behavior;
@@ -27,19 +28,60 @@
 /// A fault or a planned change.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Fault {
-    Kill { host: usize },
-    Pause { host: usize, span: Duration },
-    Stop { host: usize },
-    Reload { host: usize },
-    CallerLink { host: usize, link: LinkFault, span: Duration },
-    StoreLink { host: usize, link: LinkFault, span: Duration },
-    StoreAway { link: LinkFault, span: Duration },
-    StoreBusy { span: Duration },
+    Kill {
+        host: usize,
+    },
+    Pause {
+        host: usize,
+        span: Duration,
+    },
+    Stop {
+        host: usize,
+    },
+    Reload {
+        host: usize,
+    },
+    CallerLink {
+        host: usize,
+        link: LinkFault,
+        span: Duration,
+    },
+    StoreLink {
+        host: usize,
+        link: LinkFault,
+        span: Duration,
+    },
+    StoreAway {
+        link: LinkFault,
+        span: Duration,
+    },
+    StoreBusy {
+        span: Duration,
+    },
     Compact,
-    ServerLink { server: usize, link: LinkFault, span: Duration },
-    ServerManner { server: usize, manner: Behavior, span: Duration },
-    ServerCrash { server: usize, span: Duration },
-    ServerLeaves { server: usize, in_silence: bool },
+    /// The store is busy for a moment and comes back from a copy of `age` ago.
+    Rewind {
+        away: Duration,
+        age: Duration,
+    },
+    ServerLink {
+        server: usize,
+        link: LinkFault,
+        span: Duration,
+    },
+    ServerManner {
+        server: usize,
+        manner: Behavior,
+        span: Duration,
+    },
+    ServerCrash {
+        server: usize,
+        span: Duration,
+    },
+    ServerLeaves {
+        server: usize,
+        in_silence: bool,
+    },
     AddRoute,
     Storm,
     Revoke,
@@ -50,6 +92,13 @@
 /// One in this many faults is followed shortly by the same kind, mostly on other targets.
 const SERIES_ODDS: u32 = 4;
 
+/// One in this many soaks has no rewinds of the store.
+const CALM_ODDS: u32 = 2;
+/// Exclusive upper bound of the pause between two rewinds, in milliseconds.
+const MAX_REWIND_PAUSE_MS: u64 = 6_000;
+/// Distinguishes the random values for rewinds from the others of a seed, whose faults stay as they are.
+const REWIND_SEED: u64 = 0x7265_7769_6e64;
+
 /// The number of values to draw a fault kind from; some kinds have two values.
 const KIND_VALUES: u32 = 20;
 
@@ -83,6 +132,23 @@
     faults
 }
 
+/// Draws the rewinds of the store within `span`, some of them shortly after another.
+pub(crate) fn draw_rewinds(seed: u64, span: Duration) -> Vec<(Duration, Fault)> {
+    let mut random = SmallRng::seed_from_u64(seed ^ REWIND_SEED);
+    let mut rewinds = Vec::new();
+    if random.random_range(0..CALM_ODDS) == 0 {
+        return rewinds;
+    }
+    let mut at = Duration::from_millis(random.random_range(1_000..MAX_REWIND_PAUSE_MS));
+    while at < span {
+        let away = Duration::from_millis(random.random_range(0..600));
+        let age = Duration::from_millis(random.random_range(300..8_000));
+        rewinds.push((at, Fault::Rewind { away, age }));
+        at += Duration::from_millis(random.random_range(200..MAX_REWIND_PAUSE_MS));
+    }
+    rewinds
+}
+
 fn draw_fault(random: &mut SmallRng, kind: u32, hosts: usize, servers: usize) -> Fault {
     let host = random.random_range(0..hosts);
     let server = random.random_range(0..servers);
--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -1,4 +1,5 @@
-//! A simulated platform store: items, history, long-polling watches, and faults.
+//! A simulated platform store: items, history, long-polling watches, and faults. It can be restored
+//! from a copy of some time ago.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -8,6 +9,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
+use std::time::Instant;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -32,8 +34,21 @@
 /// The number of changes that are kept for watches.
 const HISTORY_LIMIT: usize = 400;
 
+/// A change of an item; a removal has no value.
+#[derive(Clone)]
+pub(crate) struct Write {
+    at: Instant,
+    revision: u64,
+    pub(crate) key: String,
+    pub(crate) value: Option<Vec<u8>>,
+}
+
 #[derive(Default)]
 struct Items {
+    /// How often the store was restored from an older copy, plus one.
+    era: u64,
+    /// All changes that were not lost, oldest first.
+    log: Vec<Write>,
     revision: u64,
     items: BTreeMap<String, (Vec<u8>, u64)>,
     /// Changes, oldest first; a removal has no value.
@@ -44,12 +59,19 @@
 }
 
 /// The store; clones share its items.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(crate) struct Store {
     items: Arc<Mutex<Items>>,
     changed: Arc<Notify>,
 }
 
+impl Default for Store {
+    fn default() -> Store {
+        let items = Items { era: 1, ..Items::default() };
+        Store { items: Arc::new(Mutex::new(items)), changed: Arc::default() }
+    }
+}
+
 impl Store {
     /// Serves the store on a free port of the loopback address.
     pub(crate) async fn serve(&self) -> io::Result<Listening> {
@@ -63,18 +85,45 @@
 
     /// Writes an item, or removes it.
     pub(crate) fn write(&self, key: &str, value: Option<&Value>) {
+        let bytes = value.map(|value| value.to_string().into_bytes());
+        lock(&self.items).write(key, bytes);
+        self.changed.notify_waiters();
+    }
+
+    /// Restores the copy of `age` ago, in a new era; returns the changes that are lost, oldest first.
+    /// A watch that waits is neither answered nor closed.
+    pub(crate) fn rewind(&self, age: Duration) -> Vec<Write> {
         let mut items = lock(&self.items);
-        items.revision += 1;
+        let is_kept = |write: &Write| write.at.elapsed() >= age;
+        let kept = items.log.iter().take_while(|write| is_kept(write)).count();
+        let lost = items.log.split_off(kept);
+        items.revision = items.log.last().map_or(0, |write| write.revision);
+        items.era += 1;
         let revision = items.revision;
-        let bytes = value.map(|value| value.to_string().into_bytes());
-        match &bytes {
-            Some(bytes) => items.items.insert(key.to_owned(), (bytes.clone(), revision)),
-            None => items.items.remove(key),
-        };
-        items.history.push_back((revision, key.to_owned(), bytes));
-        while items.history.len() > HISTORY_LIMIT {
-            let first = items.history.pop_front();
-            items.compacted = first.map_or(items.compacted, |(revision, ..)| revision);
+        items.history.retain(|(changed, ..)| *changed <= revision);
+        items.compacted = items.compacted.min(revision);
+        let mut copy = BTreeMap::new();
+        for write in &items.log {
+            match &write.value {
+                Some(value) => copy.insert(write.key.clone(), (value.clone(), write.revision)),
+                None => copy.remove(&write.key),
+            };
+        }
+        items.items = copy;
+        lost
+    }
+
+    /// Returns the current revision.
+    pub(crate) fn revision(&self) -> u64 {
+        lock(&self.items).revision
+    }
+
+    /// Writes a lost change again, unless the item was written after the revision `copied`.
+    pub(crate) fn restore(&self, lost: &Write, copied: u64) {
+        let mut items = lock(&self.items);
+        let is_newer = |write: &Write| write.key == lost.key && write.revision > copied;
+        if !items.log.iter().any(is_newer) {
+            items.write(&lost.key, lost.value.clone());
         }
         drop(items);
         self.changed.notify_waiters();
@@ -95,7 +144,8 @@
     async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
         let query = query(request.uri().query().unwrap_or_default());
         if lock(&self.items).is_busy {
-            return respond(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+            let items = lock(&self.items);
+            return respond(&items, StatusCode::SERVICE_UNAVAILABLE, &json!({}));
         }
         let field = |name: &str| query.get(name).cloned().unwrap_or_default();
         match request.uri().path() {
@@ -106,18 +156,18 @@
                 let wait = field("wait_ms").parse().unwrap_or(0);
                 self.watch(&field("prefix"), after, Duration::from_millis(wait)).await
             }
-            _ => respond(StatusCode::NOT_FOUND, &json!({})),
+            _ => respond(&lock(&self.items), StatusCode::NOT_FOUND, &json!({})),
         }
     }
 
     fn read(&self, key: &str) -> Response<ResponseBody> {
         let items = lock(&self.items);
         let Some((bytes, revision)) = items.items.get(key) else {
-            return respond(StatusCode::NOT_FOUND, &json!({ "at": items.revision }));
+            return respond(&items, StatusCode::NOT_FOUND, &json!({ "at": items.revision }));
         };
         let mut body = item(key, Some(bytes), *revision);
         body["at"] = items.revision.into();
-        respond(StatusCode::OK, &body)
+        respond(&items, StatusCode::OK, &body)
     }
 
     fn range(&self, prefix: &str, after: &str) -> Response<ResponseBody> {
@@ -130,7 +180,7 @@
         let page: Vec<Value> = found.by_ref().take(PAGE_SIZE).collect();
         let has_more = found.next().is_some();
         let body = json!({ "items": page, "has_more": has_more, "at": items.revision });
-        respond(StatusCode::OK, &body)
+        respond(&items, StatusCode::OK, &body)
     }
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Response<ResponseBody> {
@@ -141,31 +191,64 @@
                 // Enabled before the changes are read, so that no change in between is missed.
                 changed.as_mut().enable();
                 match self.changes(prefix, after) {
-                    Some(found) if found.is_empty() => changed.await,
-                    other => return other,
+                    None => changed.await,
+                    Some(response) => return response,
                 }
             }
         };
-        let events = timeout(wait, events).await.unwrap_or(Some(Vec::new()));
-        let Some(events) = events else { return respond(StatusCode::GONE, &json!({})) };
-        let at = match events.last() {
-            Some(last) => last["revision"].as_u64().unwrap_or(after),
-            None => after,
-        };
-        respond(StatusCode::OK, &json!({ "events": events, "at": at }))
+        if after > self.revision() {
+            return respond(&lock(&self.items), StatusCode::GONE, &json!({}));
+        }
+        match timeout(wait, events).await {
+            Ok(response) => response,
+            Err(_) => {
+                let body = json!({ "events": [], "at": after });
+                respond(&lock(&self.items), StatusCode::OK, &body)
+            }
+        }
     }
 
-    /// Returns the changes after a revision, or `None` if some have been compacted.
-    fn changes(&self, prefix: &str, after: u64) -> Option<Vec<Value>> {
+    /// Returns the response with the changes after a revision, if there are any or some have been
+    /// compacted.
+    fn changes(&self, prefix: &str, after: u64) -> Option<Response<ResponseBody>> {
         let items = lock(&self.items);
         if after < items.compacted {
-            return None;
+            return Some(respond(&items, StatusCode::GONE, &json!({})));
         }
         let is_new = |change: &&(u64, String, Option<Vec<u8>>)| {
             change.0 > after && change.1.starts_with(prefix)
         };
-        let changes = items.history.iter().filter(is_new);
-        Some(changes.map(|(revision, key, value)| item(key, value.as_ref(), *revision)).collect())
+        let changes: Vec<&(u64, String, Option<Vec<u8>>)> =
+            items.history.iter().filter(is_new).collect();
+        let at = changes.last()?.0;
+        let events: Vec<Value> = changes
+            .into_iter()
+            .map(|(revision, key, value)| item(key, value.as_ref(), *revision))
+            .collect();
+        Some(respond(&items, StatusCode::OK, &json!({ "events": events, "at": at })))
+    }
+}
+
+impl Items {
+    fn write(&mut self, key: &str, value: Option<Vec<u8>>) {
+        self.revision += 1;
+        let revision = self.revision;
+        match &value {
+            Some(bytes) => self.items.insert(key.to_owned(), (bytes.clone(), revision)),
+            None => self.items.remove(key),
+        };
+        let key = key.to_owned();
+        self.log.push(Write {
+            at: Instant::now(),
+            revision,
+            key: key.clone(),
+            value: value.clone(),
+        });
+        self.history.push_back((revision, key, value));
+        while self.history.len() > HISTORY_LIMIT {
+            let first = self.history.pop_front();
+            self.compacted = first.map_or(self.compacted, |(revision, ..)| revision);
+        }
     }
 }
 
@@ -178,9 +261,10 @@
     }
 }
 
-fn respond(status: StatusCode, body: &Value) -> Response<ResponseBody> {
+fn respond(items: &Items, status: StatusCode, body: &Value) -> Response<ResponseBody> {
     let mut response = Response::new(ResponseBody::Whole(Full::new(Bytes::from(body.to_string()))));
     *response.status_mut() = status;
+    response.headers_mut().insert("store-era", items.era.into());
     response
 }
 
