soak: a server's departure is lost by a rewind after all other faults

Cause: rewinds among other faults seldom met the calm that the check of departures needs. Change: in half of the seeds the last fault is a departure whose entry comes back with the copy.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -31,6 +31,10 @@
 /// The downtime of a planned restart, and the upper bound of the downtime after a kill.
 const RESTART_PAUSE: Duration = Duration::from_millis(100);
 const MAX_DOWN_MS: u64 = 2_500;
+/// The time between a departure and the rewind that loses it, by when all hosts know of it; and how
+/// much older than the departure the copy is.
+const DEPARTURE_KNOWN: Duration = Duration::from_millis(2_800);
+const COPY_LEAD: Duration = Duration::from_millis(500);
 /// The time after a rewind within which what is lost is written again.
 const MAX_REWRITE_MS: u64 = 1_200;
 /// The number of configuration changes in a storm, and the pause after each.
@@ -87,6 +91,14 @@
                 self.rewind_store(away, age, seed).await;
                 Ok(())
             }
+            Fault::RewindDeparture { server, in_silence, away } => {
+                let rewind = async {
+                    sleep(DEPARTURE_KNOWN).await;
+                    self.rewind_store(away, DEPARTURE_KNOWN + away + COPY_LEAD, seed).await;
+                };
+                let (left, ()) = tokio::join!(self.replace_server(server, in_silence), rewind);
+                left
+            }
             Fault::ServerLink { server, link, span } => {
                 let _disturbance = Disturbance::begin(evidence, Scope::Server(server));
                 disturb_link(&self.server(server).relay, link, span).await
@@ -122,7 +134,7 @@
     }
 
     /// Restores the store from an older copy; the operator and the servers then write again what is
-    /// lost.
+    /// lost, and entries that had been removed expire.
     async fn rewind_store(&self, away: Duration, age: Duration, seed: u64) {
         let _disturbance = Disturbance::begin(&self.evidence, Scope::Store);
         self.store.set_busy(true);
@@ -136,7 +148,11 @@
         let last: HashMap<String, Write> =
             lost.into_iter().map(|write| (write.key.clone(), write)).collect();
         let writes = last.into_values().map(|write| {
-            let pause = Duration::from_millis(random.random_range(0..MAX_REWRITE_MS));
+            let pause = match write.value {
+                Some(_) => Duration::from_millis(random.random_range(0..MAX_REWRITE_MS)),
+                // What was removed writes nothing; its entry in the copy expires.
+                None => ENTRY_TTL,
+            };
             async move {
                 sleep(pause).await;
                 self.store.restore(&write, copied);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -32,6 +32,9 @@
 /// How long the fleet runs after the last fault: the recovery time, plus time to observe that it serves.
 const AFTERWARDS: Duration = Duration::from_secs(15);
 
+/// The time without faults before the last rewind of the store.
+const CALM: Duration = Duration::from_millis(3_500);
+
 /// The parameters of one soak.
 #[derive(Debug, Clone)]
 pub struct SoakSetup {
@@ -85,8 +88,9 @@
             world.inject(fault, seed).await
         }
     });
-    let rewinds = schedule::draw_rewinds(setup.seed, setup.span);
-    let rewinding = rewinds.iter().map(|(at, fault)| {
+    let rewinds = schedule::draw_rewinds(setup.seed, setup.span, World::server_count());
+    let last = rewinds.last();
+    let rewinding = rewinds.iter().take(rewinds.len().saturating_sub(1)).map(|(at, fault)| {
         let (world, at, fault, seed) = (world.clone(), *at, *fault, setup.seed);
         async move {
             sleep(at).await;
@@ -96,6 +100,10 @@
     let (faulted, rewound) =
         tokio::join!(world::run_all(tasks), world::run_all(rewinding.collect::<Vec<_>>()));
     faulted.and(rewound)?;
+    if let Some((_, fault)) = last {
+        sleep(CALM).await;
+        world.inject(*fault, setup.seed).await?;
+    }
     faults.extend(rewinds);
     world.clear_faults().await?;
     let faults_ended = world.evidence.now();
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -64,6 +64,12 @@
         away: Duration,
         age: Duration,
     },
+    /// A server leaves, and later the store comes back from a copy of before that.
+    RewindDeparture {
+        server: usize,
+        in_silence: bool,
+        away: Duration,
+    },
     ServerLink {
         server: usize,
         link: LinkFault,
@@ -95,7 +101,7 @@
 /// One in this many soaks has no rewinds of the store.
 const CALM_ODDS: u32 = 2;
 /// Exclusive upper bound of the pause between two rewinds, in milliseconds.
-const MAX_REWIND_PAUSE_MS: u64 = 6_000;
+const MAX_REWIND_PAUSE_MS: u64 = 9_000;
 /// Distinguishes the random values for rewinds from the others of a seed, whose faults stay as they are.
 const REWIND_SEED: u64 = 0x7265_7769_6e64;
 
@@ -132,8 +138,9 @@
     faults
 }
 
-/// Draws the rewinds of the store within `span`, some of them shortly after another.
-pub(crate) fn draw_rewinds(seed: u64, span: Duration) -> Vec<(Duration, Fault)> {
+/// Draws the rewinds of the store within `span`, some of them shortly after another; the last one is
+/// injected in calm, after all other faults.
+pub(crate) fn draw_rewinds(seed: u64, span: Duration, servers: usize) -> Vec<(Duration, Fault)> {
     let mut random = SmallRng::seed_from_u64(seed ^ REWIND_SEED);
     let mut rewinds = Vec::new();
     if random.random_range(0..CALM_ODDS) == 0 {
@@ -143,9 +150,18 @@
     while at < span {
         let away = Duration::from_millis(random.random_range(0..600));
         let age = Duration::from_millis(random.random_range(300..8_000));
-        rewinds.push((at, Fault::Rewind { away, age }));
+        let server = random.random_range(0..servers);
+        let fault = match random.random_range(0..4) {
+            0 => Fault::Rewind { away, age },
+            1 => Fault::RewindDeparture { server, in_silence: false, away },
+            _ => Fault::RewindDeparture { server, in_silence: true, away },
+        };
+        rewinds.push((at, fault));
         at += Duration::from_millis(random.random_range(200..MAX_REWIND_PAUSE_MS));
     }
+    let server = random.random_range(0..servers);
+    let last = Fault::RewindDeparture { server, in_silence: true, away: Duration::ZERO };
+    rewinds.push((at, last));
     rewinds
 }
 
