--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -28,66 +28,21 @@
 /// A fault or a planned change.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Fault {
-    Kill {
-        host: usize,
-    },
-    Pause {
-        host: usize,
-        span: Duration,
-    },
-    Stop {
-        host: usize,
-    },
-    Reload {
-        host: usize,
-    },
-    CallerLink {
-        host: usize,
-        link: LinkFault,
-        span: Duration,
-    },
-    StoreLink {
-        host: usize,
-        link: LinkFault,
-        span: Duration,
-    },
-    StoreAway {
-        link: LinkFault,
-        span: Duration,
-    },
-    StoreBusy {
-        span: Duration,
-    },
+    Kill { host: usize },
+    Pause { host: usize, span: Duration },
+    Stop { host: usize },
+    Reload { host: usize },
+    CallerLink { host: usize, link: LinkFault, span: Duration },
+    StoreLink { host: usize, link: LinkFault, span: Duration },
+    StoreAway { link: LinkFault, span: Duration },
+    StoreBusy { span: Duration },
     Compact,
-    /// The store is busy for a moment and comes back from a copy of `age` ago.
-    Rewind {
-        away: Duration,
-        age: Duration,
-    },
-    /// A server leaves, and later the store comes back from a copy of before that.
-    RewindDeparture {
-        server: usize,
-        in_silence: bool,
-        away: Duration,
-    },
-    ServerLink {
-        server: usize,
-        link: LinkFault,
-        span: Duration,
-    },
-    ServerManner {
-        server: usize,
-        manner: Behavior,
-        span: Duration,
-    },
-    ServerCrash {
-        server: usize,
-        span: Duration,
-    },
-    ServerLeaves {
-        server: usize,
-        in_silence: bool,
-    },
+    Rewind { away: Duration, age: Duration },
+    RewindDeparture { server: usize, in_silence: bool, away: Duration },
+    ServerLink { server: usize, link: LinkFault, span: Duration },
+    ServerManner { server: usize, manner: Behavior, span: Duration },
+    ServerCrash { server: usize, span: Duration },
+    ServerLeaves { server: usize, in_silence: bool },
     AddRoute,
     Storm,
     Revoke,
