--- a/lib/src/state/gateway/mod.rs
+++ b/lib/src/state/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod load_table;
 pub(crate) mod pause;
 pub(crate) mod server;
+pub(crate) mod source_era;
 pub(crate) mod ticket_renewal;
 
 pub use budget::*;
@@ -25,4 +26,5 @@
 pub use load_table::*;
 pub use pause::*;
 pub use server::*;
+pub use source_era::*;
 pub use ticket_renewal::*;
--- a/lib/tests/test_gateway_departures.rs
+++ b/lib/tests/test_gateway_departures.rs
@@ -39,6 +39,11 @@
     is_used: bool,
 }
 
+fn plain_list() -> Vec<ListedServer> {
+    let entry = |server| ListedServer { server, revision: 8 };
+    plain_servers().into_iter().map(entry).collect()
+}
+
 fn relist(gateway: &mut Gateway) {
     gateway.apply_server(ServerChange::Listed(server("p-1", "plain", 3)));
 }
@@ -53,8 +58,8 @@
 #[test_case(ListChange { change: |_| {}, is_used: false } ; "nothing")]
 #[test_case(ListChange { change: relist, is_used: false } ; "listed again as ready")]
 #[test_case(ListChange { change: |gateway| { gateway.apply_server(ServerChange::Removed("p-1".to_owned())); relist(gateway) }, is_used: false } ; "removed and listed again as ready")]
-#[test_case(ListChange { change: |gateway| gateway.replace_servers(plain_servers(), true, at(9_000)), is_used: false } ; "all listed again after an outage")]
-#[test_case(ListChange { change: |gateway| { gateway.replace_servers(vec![], false, at(1)); gateway.replace_servers(plain_servers(), false, at(2)) }, is_used: false } ; "an empty list and then all again")]
+#[test_case(ListChange { change: |gateway| gateway.replace_servers(plain_list(), 9, true, at(9_000)), is_used: false } ; "all listed again after an outage")]
+#[test_case(ListChange { change: |gateway| { gateway.replace_servers(vec![], 9, false, at(1)); gateway.replace_servers(plain_list(), 10, false, at(2)) }, is_used: false } ; "an empty list and then all again")]
 #[test_case(ListChange { change: restart, is_used: true } ; "another start of it")]
 #[test_case(ListChange { change: |gateway| { restart(gateway); relist(gateway) }, is_used: false } ; "an old list after another start")]
 fn only_a_new_start_of_a_server_ends_its_leaving(case: ListChange) {
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -48,6 +48,8 @@
     StoreAway { link: LinkFault, span: Duration },
     StoreBusy { span: Duration },
     Compact,
+    Rewind { away: Duration, age: Duration },
+    RewindDeparture { server: usize, departure: Departure, away: Duration },
     ServerLink { server: usize, link: LinkFault, span: Duration },
     ServerManner { server: usize, manner: Behavior, span: Duration },
     ServerCrash { server: usize, span: Duration },
@@ -64,6 +66,13 @@
 
 /// The maximum number of times that servers turn requests away.
 const MAX_PAUSE_FAULTS: u32 = 3;
+/// One in this many soaks has no rewinds of the store.
+const CALM_ODDS: u32 = 2;
+/// Exclusive upper bound of the pause between two rewinds, in milliseconds.
+const MAX_REWIND_PAUSE_MS: u64 = 9_000;
+/// Distinguishes the random values for rewinds from the others of a seed, whose faults stay as they are.
+const REWIND_SEED: u64 = 0x7265_7769_6e64;
+
 /// The number of values to draw a fault kind from; some kinds have two values.
 const KIND_VALUES: u32 = 20;
 
@@ -120,6 +129,34 @@
     faults
 }
 
+/// Draws the rewinds of the store within `span`, some of them shortly after another; the last one is
+/// injected in calm, after all other faults.
+pub(crate) fn draw_rewinds(seed: u64, span: Duration, servers: usize) -> Vec<(Duration, Fault)> {
+    let mut random = SmallRng::seed_from_u64(seed ^ REWIND_SEED);
+    let mut rewinds = Vec::new();
+    if random.random_range(0..CALM_ODDS) == 0 {
+        return rewinds;
+    }
+    let mut at = Duration::from_millis(random.random_range(1_000..MAX_REWIND_PAUSE_MS));
+    while at < span {
+        let away = Duration::from_millis(random.random_range(0..600));
+        let age = Duration::from_millis(random.random_range(300..8_000));
+        let server = random.random_range(0..servers);
+        let fault = match random.random_range(0..4) {
+            0 => Fault::Rewind { away, age },
+            1 => Fault::RewindDeparture { server, departure: Departure::Announced, away },
+            _ => Fault::RewindDeparture { server, departure: Departure::Silent, away },
+        };
+        rewinds.push((at, fault));
+        at += Duration::from_millis(random.random_range(200..MAX_REWIND_PAUSE_MS));
+    }
+    let server = random.random_range(0..servers);
+    let last =
+        Fault::RewindDeparture { server, departure: Departure::Silent, away: Duration::ZERO };
+    rewinds.push((at, last));
+    rewinds
+}
+
 fn draw_fault(random: &mut SmallRng, kind: u32, hosts: usize, servers: usize) -> Fault {
     let host = random.random_range(0..hosts);
     let server = random.random_range(0..servers);
