gateway: end bytes of a server that are no answer and never end

Cause: the HTTP library bounds a head, chunk extensions and trailers, but not the interim answers before a head, the digits and spaces of a chunk's size, nor time. Events without a number, or with a known one, were read or relayed without a bound, at full speed even past the route's time, as the deadline was only looked at while nothing came. Whole answers were bounded each, not together.

Events without a new number don't count as progress, wait for the next one that has a number, and may be 1 MiB in a row. A stream ends at its deadline even while events come. Whole answers count towards the same buffer limit as requests. An answer that had begun when time was over is a lost one (502) of a faulty server.

--- a/lib/src/transport/gateway/event_relay.rs
+++ b/lib/src/transport/gateway/event_relay.rs
@@ -5,8 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use bytes::BytesMut;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -17,6 +16,8 @@
 use super::response_body::ResponseAborted;
 use super::successor::AfterSilence;
 use super::telemetry::LineKind;
+use super::upstream::BodyFault;
+use super::upstream::UpstreamBody;
 use crate::coordination::NextStep;
 use crate::coordination::SendResult;
 use crate::protocol::EventSplitter;
@@ -27,6 +28,8 @@
 const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// How many of the route's longest allowed gaps between events a stream may be silent for.
 const SILENCE_TIMEOUT_GAPS: u32 = 3;
+/// How many bytes of events may come in a row of which none has a new number.
+const MAX_UNNUMBERED_BYTES: usize = 1024 * 1024;
 
 /// How a server's stream ended before it was complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,6 +42,8 @@
     Malformed,
     /// An event number was skipped.
     MissingEvent,
+    /// More bytes came than belong to an answer.
+    Excess,
 }
 
 impl StreamFault {
@@ -49,22 +54,48 @@
             StreamFault::Truncated => "truncated",
             StreamFault::Malformed => "malformed",
             StreamFault::MissingEvent => "missing_event",
+            StreamFault::Excess => "excess",
+        }
+    }
+}
+
+impl From<BodyFault> for StreamFault {
+    fn from(fault: BodyFault) -> StreamFault {
+        match fault {
+            BodyFault::Reset => StreamFault::Reset,
+            BodyFault::Excess => StreamFault::Excess,
         }
     }
 }
 
 /// The events of one server's response.
 pub(crate) struct EventRelay {
-    body: Incoming,
+    body: UpstreamBody,
     splitter: EventSplitter,
     last: Option<u64>,
+    /// Events without a number, which precede the next one with a number.
+    held: BytesMut,
+    /// The bytes of events since the last one that had a new number.
+    unnumbered: usize,
     first: Option<StreamEvent>,
 }
 
 impl EventRelay {
     /// Reads events from `body`; events up to the number `last` are skipped.
-    pub(crate) fn new(body: Incoming, last: Option<u64>) -> EventRelay {
-        EventRelay { body, splitter: EventSplitter::default(), last, first: None }
+    pub(crate) fn new(body: UpstreamBody, last: Option<u64>) -> EventRelay {
+        EventRelay {
+            body,
+            splitter: EventSplitter::default(),
+            last,
+            held: BytesMut::new(),
+            unnumbered: 0,
+            first: None,
+        }
+    }
+
+    /// Returns whether a part of the body has arrived.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.body.has_begun()
     }
 
     /// Waits until the first event is complete.
@@ -84,22 +115,41 @@
     async fn read(&mut self) -> Result<Option<StreamEvent>, StreamFault> {
         loop {
             while let Some(event) = self.splitter.next_event() {
-                if self.is_next(&event)? {
-                    return Ok(Some(event));
+                if event.id.is_some() && self.is_next(&event)? {
+                    self.unnumbered = 0;
+                    return Ok(Some(self.with_held(event)));
+                }
+                self.unnumbered += event.bytes.len();
+                if self.unnumbered > MAX_UNNUMBERED_BYTES {
+                    return Err(StreamFault::Excess);
+                }
+                if event.id.is_none() {
+                    self.held.extend_from_slice(&event.bytes);
                 }
             }
-            match self.body.frame().await {
-                Some(Ok(frame)) => {
-                    let Ok(data) = frame.into_data() else { continue };
+            match self.body.next().await {
+                Some(Ok(data)) => {
                     self.splitter.push(&data).map_err(|_| StreamFault::Malformed)?;
                 }
-                Some(Err(_)) => return Err(StreamFault::Reset),
-                None if self.splitter.is_empty() => return Ok(None),
-                None => return Err(StreamFault::Truncated),
+                Some(Err(fault)) => return Err(fault.into()),
+                None if !self.splitter.is_empty() => return Err(StreamFault::Truncated),
+                None if self.held.is_empty() => return Ok(None),
+                None => {
+                    return Ok(Some(StreamEvent { bytes: self.held.split().freeze(), id: None }));
+                }
             }
         }
     }
 
+    /// Returns `event` with the events without a number that came before it.
+    fn with_held(&mut self, event: StreamEvent) -> StreamEvent {
+        if self.held.is_empty() {
+            return event;
+        }
+        self.held.extend_from_slice(&event.bytes);
+        StreamEvent { bytes: self.held.split().freeze(), id: event.id }
+    }
+
     /// Returns whether `event` is the next one: `false` for an event that the caller already has, and
     /// an error for an event after a gap.
     fn is_next(&mut self, event: &StreamEvent) -> Result<bool, StreamFault> {
@@ -183,6 +233,9 @@
     let mut last = exchange.ctx.now();
     loop {
         let left = exchange.deadline().since(exchange.ctx.now());
+        if left.is_zero() {
+            return ServerStreamEnd::OutOfTime;
+        }
         let mut next = pin!(relay.next());
         let next = match timeout(silence.min(left), next.as_mut()).await {
             Ok(next) => next,
--- a/lib/src/transport/gateway/exchange.rs
+++ b/lib/src/transport/gateway/exchange.rs
@@ -11,7 +11,6 @@
 use http::Response;
 use http::request;
 use http::response;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
@@ -25,6 +24,7 @@
 use super::memory_reservation::MemoryReservation;
 use super::memory_reservation::reserve_memory;
 use super::request_body::BodyError;
+use super::request_body::BufferShare;
 use super::request_body::BufferedBody;
 use super::request_body::read_body;
 use super::response_body::CHUNK_QUEUE_LEN;
@@ -33,8 +33,10 @@
 use super::response_head::refusal_response;
 use super::response_head::strip_connection_fields;
 use super::telemetry::LineKind;
+use super::upstream::BodyFault;
 use super::upstream::SendError;
 use super::upstream::Upstream;
+use super::upstream::UpstreamBody;
 use crate::coordination::Dispatch;
 use crate::coordination::Gateway;
 use crate::coordination::GatewayPlacement;
@@ -311,7 +313,7 @@
     async fn await_response_head(
         &self,
         active: &mut ActiveSend,
-    ) -> Result<(response::Parts, Incoming), SendResult> {
+    ) -> Result<(response::Parts, UpstreamBody), SendResult> {
         active.memory = reserve_memory(&self.ctx, &active.dispatch).await?;
         let mut upstream = match Upstream::connect(active.dispatch.server.address).await {
             Ok(upstream) => upstream,
@@ -334,6 +336,7 @@
         self.ctx.gateway.borrow_mut().record_sent(&mut self.request.borrow_mut());
         let request = self.upstream_request(now, &active.dispatch);
         let response = timeout(deadline.since(now), upstream.send(request)).await;
+        let has_begun = upstream.has_begun();
         active.upstream = Some(upstream);
         match response {
             Ok(Ok(response)) => Ok(response.into_parts()),
@@ -348,6 +351,7 @@
                     SendError::Lost(_) => Err(SendResult::Lost),
                 }
             }
+            Err(_) if has_begun => Err(SendResult::Lost),
             Err(_) => Err(SendResult::TimedOut),
         }
     }
@@ -375,7 +379,7 @@
         &self,
         mut active: ActiveSend,
         head: response::Parts,
-        body: Incoming,
+        mut body: UpstreamBody,
     ) -> Result<Answer, SendFailure> {
         let facts = self.ctx.dialect.response_facts(&head);
         if facts.not_run {
@@ -391,10 +395,15 @@
         if is_success && self.request.borrow().route.kind.is_stream() {
             return self.await_first_event(active, head, body).await;
         }
-        let time = self.deadline().since(self.ctx.now());
-        let bytes = match timeout(time, collect_response(body)).await {
-            Ok(Some(bytes)) => bytes,
-            Ok(None) => return Err(SendResult::Lost.into()),
+        let began = self.ctx.now();
+        let time = self.deadline().since(began);
+        let bytes = match timeout(time, collect_response(&self.ctx, &mut body)).await {
+            Ok(Ok(bytes)) => bytes,
+            Ok(Err(fault)) => {
+                self.record_fault(&active.dispatch, fault.into(), began);
+                return Err(SendResult::Lost.into());
+            }
+            Err(_) if body.has_begun() => return Err(SendResult::Lost.into()),
             Err(_) => return Err(SendResult::TimedOut.into()),
         };
         let now = self.ctx.now();
@@ -418,7 +427,7 @@
         &self,
         active: ActiveSend,
         head: response::Parts,
-        body: Incoming,
+        body: UpstreamBody,
     ) -> Result<Answer, SendFailure> {
         let sent = self.ctx.now();
         let mut relay = EventRelay::new(body, self.request.borrow().last_event);
@@ -429,6 +438,7 @@
                 self.record_fault(&active.dispatch, fault, sent);
                 return Err(SendResult::Lost.into());
             }
+            Err(_) if relay.has_begun() => return Err(SendResult::Lost.into()),
             Err(_) => return Err(SendResult::TimedOut.into()),
         }
         let now = self.ctx.now();
@@ -446,14 +456,18 @@
     }
 }
 
-async fn collect_response(mut body: Incoming) -> Option<Bytes> {
+async fn collect_response(
+    ctx: &Rc<GatewayContext>,
+    body: &mut UpstreamBody,
+) -> Result<Bytes, BodyFault> {
     let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.ok()?.into_data() else { continue };
-        if bytes.len() + data.len() > MAX_BUFFERED_RESPONSE {
-            return None;
+    let mut share = BufferShare::new(ctx.clone());
+    while let Some(data) = body.next().await {
+        let data = data?;
+        if bytes.len() + data.len() > MAX_BUFFERED_RESPONSE || !share.grow(data.len()) {
+            return Err(BodyFault::Excess);
         }
         bytes.extend_from_slice(&data);
     }
-    Some(bytes.freeze())
+    Ok(bytes.freeze())
 }
--- a/lib/src/transport/gateway/mod.rs
+++ b/lib/src/transport/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! Everything runs on one thread: an entry host has a fraction of one core, on which thread switches
 //! cost more than parallelism gains. Only the log writer has its own thread.
 
+pub(crate) mod byte_meter;
 pub(crate) mod clock;
 pub(crate) mod context;
 pub(crate) mod dialect;
@@ -22,6 +23,7 @@
 mod telemetry;
 pub(crate) mod upstream;
 
+pub use byte_meter::*;
 pub use clock::BootClock;
 pub use dialect::*;
 pub use fleet_source::*;
--- a/lib/src/transport/gateway/request_body.rs
+++ b/lib/src/transport/gateway/request_body.rs
@@ -29,25 +29,47 @@
     Disconnected,
 }
 
-/// A body in memory. Its size counts towards the buffer limit until it is dropped.
-pub(crate) struct BufferedBody {
+/// A share of the buffer limit, which is given back on drop.
+pub(crate) struct BufferShare {
     ctx: Rc<GatewayContext>,
     size: usize,
-    bytes: Bytes,
 }
 
-impl BufferedBody {
-    pub(crate) fn bytes(&self) -> Bytes {
-        self.bytes.clone()
+impl BufferShare {
+    pub(crate) fn new(ctx: Rc<GatewayContext>) -> BufferShare {
+        BufferShare { ctx, size: 0 }
+    }
+
+    /// Adds `size` bytes; returns `false` if the buffers of all requests would exceed the limit.
+    pub(crate) fn grow(&mut self, size: usize) -> bool {
+        let total = self.ctx.buffered_bytes.get() + size;
+        let has_space = total <= self.ctx.buffer_limit;
+        if has_space {
+            self.ctx.buffered_bytes.set(total);
+            self.size += size;
+        }
+        has_space
     }
 }
 
-impl Drop for BufferedBody {
+impl Drop for BufferShare {
     fn drop(&mut self) {
         self.ctx.buffered_bytes.set(self.ctx.buffered_bytes.get().saturating_sub(self.size));
     }
 }
 
+/// A body in memory. Its size counts towards the buffer limit until it is dropped.
+pub(crate) struct BufferedBody {
+    share: BufferShare,
+    bytes: Bytes,
+}
+
+impl BufferedBody {
+    pub(crate) fn bytes(&self) -> Bytes {
+        self.bytes.clone()
+    }
+}
+
 /// Reads `body`, of at most `limit` bytes, within `time`.
 pub(crate) async fn read_body(
     ctx: &Rc<GatewayContext>,
@@ -56,7 +78,7 @@
     time: Duration,
 ) -> Result<BufferedBody, BodyError> {
     let declared = body.size_hint().exact().and_then(|size| usize::try_from(size).ok());
-    let mut held = BufferedBody { ctx: ctx.clone(), size: 0, bytes: Bytes::new() };
+    let mut held = BufferedBody { share: BufferShare::new(ctx.clone()), bytes: Bytes::new() };
     if declared == Some(0) {
         return Ok(held);
     }
@@ -91,16 +113,13 @@
         if bytes.len() + data.len() > limit {
             return Err(BodyError::Refused(GatewayRefusal::new(RefusalReason::BodyTooLarge)));
         }
-        let total = held.ctx.buffered_bytes.get() + data.len();
-        if total > held.ctx.buffer_limit {
+        if !held.share.grow(data.len()) {
             let reason = RefusalReason::NoBufferSpace;
             return Err(BodyError::Refused(GatewayRefusal::retry_after(
                 reason,
                 NO_BUFFER_RETRY_AFTER,
             )));
         }
-        held.ctx.buffered_bytes.set(total);
-        held.size += data.len();
         bytes.extend_from_slice(&data);
     }
     Ok(bytes.freeze())
--- a/lib/src/transport/gateway/upstream.rs
+++ b/lib/src/transport/gateway/upstream.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
+use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -22,6 +23,10 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use super::byte_meter::ByteMeter;
+use super::byte_meter::MAX_HEAD_BYTES;
+use super::byte_meter::MeteredStream;
+
 /// The timeout for a connection: several times the latency between two availability zones, and less
 /// than the second after which a lost SYN is retransmitted.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -56,6 +61,45 @@
 pub(crate) struct Upstream {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    meter: ByteMeter,
+}
+
+/// How the body of a response failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum BodyFault {
+    /// The connection failed.
+    Reset,
+    /// More bytes came than belong to a response.
+    Excess,
+}
+
+/// The body of a response.
+pub(crate) struct UpstreamBody {
+    body: Incoming,
+    meter: ByteMeter,
+}
+
+impl UpstreamBody {
+    /// Returns the next bytes, or `None` at the end; cancel-safe.
+    pub(crate) async fn next(&mut self) -> Option<Result<Bytes, BodyFault>> {
+        loop {
+            match self.body.frame().await? {
+                Ok(frame) => {
+                    // Trailers are not relayed.
+                    let Ok(data) = frame.into_data() else { continue };
+                    self.meter.record_data(data.len());
+                    return Some(Ok(data));
+                }
+                Err(_) if self.meter.is_exceeded() => return Some(Err(BodyFault::Excess)),
+                Err(_) => return Some(Err(BodyFault::Reset)),
+            }
+        }
+    }
+
+    /// Returns whether a part of the body has arrived.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.meter.has_partial_answer()
+    }
 }
 
 impl Drop for Upstream {
@@ -87,24 +131,29 @@
             .set_nodelay(true)
             .and_then(|()| enable_keepalive(&stream))
             .map_err(|error| not_sent(error.to_string()))?;
+        let meter = ByteMeter::default();
         let (sender, connection) = http1::Builder::new()
-            .handshake(TokioIo::new(stream))
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(MeteredStream::new(stream, meter.clone())))
             .await
             .map_err(|error| not_sent(error.to_string()))?;
         let driver = tokio::task::spawn_local(async move {
             // Errors are reported by the future of the request.
             let _ = connection.await;
         });
-        Ok(Upstream { sender, driver })
+        Ok(Upstream { sender, driver, meter })
     }
 
     /// Sends the request and returns the response once its head has arrived.
     pub(crate) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<Response<UpstreamBody>, SendError> {
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.meter.begin_body();
+                Ok(response.map(|body| UpstreamBody { body, meter: self.meter.clone() }))
+            }
             Err(mut error) => {
                 let was_kept = error.take_message().is_some();
                 let message = error.into_error().to_string();
@@ -112,4 +161,9 @@
             }
         }
     }
+
+    /// Returns whether a part of the response's head has arrived.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.meter.has_partial_answer()
+    }
 }
