gateway: bound the cost of endless bytes, and of a flood at the peers' port

Cause: bytes alone don't bound the processor: an answer in chunks of one byte took 47 ms of the host's thread before it was cut. A datagram that is no summary was logged each, as fast as they came.

Change: a piece of a body counts as 32 bytes, a numbered event gives 64 back. Heads have 16 KiB, the overhead of an answer 64 KiB, events without a new number 128 KiB. After 32 datagrams that are no summary the host receives none for 10 ms, and logs one of the 32.

--- a/lib/src/transport/gateway/byte_meter.rs
+++ b/lib/src/transport/gateway/byte_meter.rs
@@ -20,10 +20,14 @@
 use tokio::time::sleep;
 
 /// The largest head of an answer, and the most that is read at once.
-pub const MAX_HEAD_BYTES: usize = 32 * 1024;
+pub const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// How many bytes more than twice the data of its body an answer may take up: heads, the framing of
 /// chunks, trailers, and what was read but not yet consumed.
-const MAX_OVERHEAD_BYTES: u64 = 128 * 1024;
+const MAX_OVERHEAD_BYTES: u64 = 64 * 1024;
+/// What each piece of a body counts as in addition, so that many small ones exceed the bound.
+const PIECE_BYTES: u64 = 32;
+/// What each event counts as in addition to its data, so that a stream of small events does not.
+const EVENT_BYTES: u64 = 64;
 /// The time from the first byte of a head to its last one.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -58,10 +62,10 @@
 #[derive(Debug, Default)]
 struct Counts {
     part: Cell<Part>,
-    /// The bytes that were read, and those that were read of the body.
+    /// The bytes that were read, with what pieces count as, and those that were read of the body.
     read: Cell<u64>,
     body_read: Cell<u64>,
-    /// The bytes of the body that were consumed.
+    /// The bytes of the body that were consumed, with what events count as.
     data: Cell<u64>,
     is_exceeded: Cell<bool>,
 }
@@ -96,7 +100,7 @@
         self.0.part.set(Part::Body);
     }
 
-    /// Records that `size` bytes of the body were consumed.
+    /// Records that a piece of the body, of `size` bytes, was consumed.
     ///
     /// ```
     /// let meter = wasabicrank_lib::transport::ByteMeter::default();
@@ -106,6 +110,20 @@
     /// ```
     pub fn record_data(&self, size: usize) {
         self.0.data.set(self.0.data.get() + size as u64);
+        self.0.read.set(self.0.read.get() + PIECE_BYTES);
+    }
+
+    /// Records that the pieces so far held one more event of a stream.
+    ///
+    /// ```
+    /// let meter = wasabicrank_lib::transport::ByteMeter::default();
+    /// meter.begin_body();
+    /// meter.record_data(20);
+    /// meter.record_event();
+    /// assert!(!meter.is_exceeded());
+    /// ```
+    pub fn record_event(&self) {
+        self.0.data.set(self.0.data.get() + EVENT_BYTES);
     }
 
     /// Returns whether a part of a head, or of a body after its head, has arrived.
--- a/lib/src/transport/gateway/event_relay.rs
+++ b/lib/src/transport/gateway/event_relay.rs
@@ -29,7 +29,7 @@
 /// How many of the route's longest allowed gaps between events a stream may be silent for.
 const SILENCE_TIMEOUT_GAPS: u32 = 3;
 /// How many bytes of events may come in a row of which none has a new number.
-const MAX_UNNUMBERED_BYTES: usize = 1024 * 1024;
+const MAX_UNNUMBERED_BYTES: usize = 128 * 1024;
 
 /// How a server's stream ended before it was complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -117,6 +117,7 @@
             while let Some(event) = self.splitter.next_event() {
                 if event.id.is_some() && self.is_next(&event)? {
                     self.unnumbered = 0;
+                    self.body.record_event();
                     return Ok(Some(self.with_held(event)));
                 }
                 self.unnumbered += event.bytes.len();
--- a/lib/src/transport/gateway/peer_socket.rs
+++ b/lib/src/transport/gateway/peer_socket.rs
@@ -5,21 +5,29 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use slog::info;
 use slog::warn;
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 
 use super::context::GatewayContext;
+use super::telemetry::LineKind;
 use crate::coordination::ReceivedSummary;
 use crate::coordination::SummaryScope;
 use crate::protocol::MAX_DATAGRAM;
 use crate::protocol::decode_summary;
 use crate::protocol::encode_summary;
 
+/// After this many datagrams that are no summary, nothing is received for a while: the system drops
+/// what exceeds its buffer, and a flood takes neither the processor nor the log.
+const MAX_BAD_DATAGRAMS: u32 = 32;
+const BAD_DATAGRAM_PAUSE: Duration = Duration::from_millis(10);
+
 /// Opens the socket for datagrams from and to peers.
 pub(crate) async fn open(own: Ipv4Addr, port: u16) -> io::Result<Rc<UdpSocket>> {
     Ok(Rc::new(UdpSocket::bind((own, port)).await?))
@@ -60,6 +68,7 @@
 /// Receives summaries from peers.
 pub(crate) async fn receive_summaries(ctx: Rc<GatewayContext>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM];
+    let mut bad = 0;
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
             Ok(received) => received,
@@ -87,7 +96,16 @@
                 }
             }
             Err(error) => {
-                warn!(ctx.telemetry.log(), "datagram dropped"; "peer" => %from, "error" => ?error);
+                bad += 1;
+                if bad == 1
+                    && let Some(log) = ctx.telemetry.limited_log(now, LineKind::Failure)
+                {
+                    warn!(log, "datagram dropped"; "peer" => %from, "error" => ?error);
+                }
+                if bad == MAX_BAD_DATAGRAMS {
+                    bad = 0;
+                    sleep(BAD_DATAGRAM_PAUSE).await;
+                }
             }
         }
     }
--- a/lib/src/transport/gateway/upstream.rs
+++ b/lib/src/transport/gateway/upstream.rs
@@ -96,6 +96,11 @@
         }
     }
 
+    /// Records that the body so far held one more event.
+    pub(crate) fn record_event(&self) {
+        self.meter.record_event();
+    }
+
     /// Returns whether a part of the body has arrived.
     pub(crate) fn has_begun(&self) -> bool {
         self.meter.has_partial_answer()
