soak: servers whose heads or bodies never end

Two more manners of a server: interim answers in place of a head, and a body that holds no event, each until the caller closes; at full speed or a byte every 200 ms.

--- a/soak/src/http_server.rs
+++ b/soak/src/http_server.rs
@@ -7,6 +7,8 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 
@@ -20,7 +22,11 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
@@ -63,6 +69,63 @@
     }
 }
 
+/// What is sent in place of a response's bytes once a connection is spoilt.
+const INTERIM_RESPONSE: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
+
+/// An extension of each request: spoils its connection, so that no head of a response is ever sent.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Spoiler(Arc<AtomicBool>);
+
+impl Spoiler {
+    pub(crate) fn spoil(&self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
+/// A connection that sends as many other bytes as it is given once it is spoilt.
+struct SpoilableStream {
+    stream: TcpStream,
+    spoiler: Spoiler,
+    position: usize,
+}
+
+impl AsyncRead for SpoilableStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for SpoilableStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        if !this.spoiler.0.load(Ordering::SeqCst) {
+            return Pin::new(&mut this.stream).poll_write(context, bytes);
+        }
+        let rest = &INTERIM_RESPONSE[this.position..];
+        let piece = &rest[..rest.len().min(bytes.len())];
+        Pin::new(&mut this.stream).poll_write(context, piece).map_ok(|count| {
+            this.position = (this.position + count) % INTERIM_RESPONSE.len();
+            count
+        })
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+    }
+}
+
 type ResponseFuture = Pin<Box<dyn Future<Output = Response<ResponseBody>> + Send>>;
 
 /// A listener that stops when dropped; open connections are not closed by it.
@@ -90,7 +153,10 @@
         while let Ok((stream, _)) = listener.accept().await {
             let answer = answer.clone();
             tokio::spawn(async move {
-                let service = service_fn(|request| {
+                let spoiler = Spoiler::default();
+                let stream = SpoilableStream { stream, spoiler: spoiler.clone(), position: 0 };
+                let service = service_fn(|mut request: Request<Incoming>| {
+                    request.extensions_mut().insert(spoiler.clone());
                     let answering = answer(request);
                     async move { Ok::<_, Infallible>(answering.await) }
                 });
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -139,12 +139,14 @@
 }
 
 fn draw_behavior(random: &mut SmallRng) -> Behavior {
-    match random.random_range(0..6) {
+    match random.random_range(0..8) {
         0 => Behavior::LosesAnswers,
         1 => Behavior::BreaksOff,
         2 => Behavior::Mute,
         3 => Behavior::Confuses,
         4 => Behavior::Sheds,
+        5 => Behavior::EndlessHead,
+        6 => Behavior::EndlessBody,
         _ => Behavior::LateOrders,
     }
 }
--- a/soak/src/server.rs
+++ b/soak/src/server.rs
@@ -32,6 +32,7 @@
 use crate::http_server::Aborted;
 use crate::http_server::Listening;
 use crate::http_server::ResponseBody;
+use crate::http_server::Spoiler;
 use crate::http_server::listen;
 
 /// The number of requests that one server executes concurrently.
@@ -40,6 +41,10 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(40);
 /// The execution time of a plain call.
 const CALL_DURATION: Duration = Duration::from_millis(15);
+/// The pieces of an endless response: for every other request id at full speed, otherwise a byte with
+/// a pause after each.
+const ENDLESS_PIECE: &[u8] = &[b'a'; 16 * 1024];
+const ENDLESS_PAUSE: Duration = Duration::from_millis(200);
 /// The delay after which an unanswered order is executed.
 const LATE_ORDER_DELAY: Duration = Duration::from_millis(2_500);
 /// The platform's bound on how long memory may stay reserved that no request has used.
@@ -65,6 +70,10 @@
     Sheds,
     /// Leaves orders unanswered and executes them late.
     LateOrders,
+    /// Sends a head that never ends, or a part of it.
+    EndlessHead,
+    /// Sends a body that never ends and holds no event.
+    EndlessBody,
 }
 
 /// A reservation of memory.
@@ -201,6 +210,14 @@
             return respond(StatusCode::SERVICE_UNAVAILABLE, &fields, "");
         }
         let using = RequestGuard::begin(&self, &head.headers);
+        if matches!(self.behavior(), Behavior::EndlessHead | Behavior::EndlessBody) {
+            if let (Behavior::EndlessHead, Some(spoiler)) =
+                (self.behavior(), head.extensions.get::<Spoiler>())
+            {
+                spoiler.spoil();
+            }
+            return endless_response(&id, using);
+        }
         match Kind::of_path(head.uri.path()).is_some_and(Kind::is_stream) {
             true => self.stream(&id, field("last-event-id"), using),
             false => self.call(&id, using).await,
@@ -224,7 +241,12 @@
                 signed(id, ResponseBody::Pieces(receiver))
             }
             Behavior::Confuses => signed("another", full_body(&text)),
-            Behavior::Good | Behavior::Sheds | Behavior::LateOrders => signed(id, full_body(&text)),
+            // An endless response began before the call.
+            Behavior::Good
+            | Behavior::Sheds
+            | Behavior::LateOrders
+            | Behavior::EndlessHead
+            | Behavior::EndlessBody => signed(id, full_body(&text)),
         }
     }
 
@@ -398,6 +420,22 @@
     ResponseBody::Whole(Full::new(Bytes::from(text.to_owned())))
 }
 
+/// Returns a response whose body is sent until the caller disconnects.
+fn endless_response(id: &str, using: RequestGuard) -> Response<ResponseBody> {
+    let (pieces, receiver) = mpsc::channel(1);
+    let is_slow = event_count(id) % 2 == 0;
+    tokio::spawn(async move {
+        let _using = using;
+        let size = if is_slow { 1 } else { ENDLESS_PIECE.len() };
+        while pieces.send(Ok(Bytes::from_static(&ENDLESS_PIECE[..size]))).await.is_ok() {
+            if is_slow {
+                sleep(ENDLESS_PAUSE).await;
+            }
+        }
+    });
+    signed(id, ResponseBody::Pieces(receiver))
+}
+
 /// Returns a response whose connection ends before the first byte of its body.
 fn aborted_response() -> Response<ResponseBody> {
     let (pieces, receiver) = mpsc::channel(1);
