--- a/soak/src/server.rs
+++ b/soak/src/server.rs
@@ -423,7 +423,7 @@
 /// Returns a response whose body is sent until the caller disconnects.
 fn endless_response(id: &str, using: RequestGuard) -> Response<ResponseBody> {
     let (pieces, receiver) = mpsc::channel(1);
-    let is_slow = event_count(id) % 2 == 0;
+    let is_slow = event_count(id).is_multiple_of(2);
     tokio::spawn(async move {
         let _using = using;
         let size = if is_slow { 1 } else { ENDLESS_PIECE.len() };
