gateway: send refused callers back for servers that stay

What callers saw: with all servers of a service paused and one of them leaving, the Retry-After was the end of the leaving server's pause, when nothing could serve them. Cause: pauses looked at all listed servers, not at those that may get requests. a_refused_caller_returns_for_a_server_that_stays failed before (0.70 s in place of 4 s or more) and passes.

--- a/lib/src/coordination/gateway/pauses.rs
+++ b/lib/src/coordination/gateway/pauses.rs
@@ -52,7 +52,7 @@
 
     /// Returns whether a server of `service` is paused, or was until recently.
     pub(crate) fn has_withheld_slots(&self, now: Moment, service: &ServiceName) -> bool {
-        let servers = self.servers.of_service(service);
+        let servers = self.usable_servers(service);
         servers.iter().any(|server| self.withheld_slots(now, server, server.slots) > 0)
     }
 
@@ -67,7 +67,7 @@
         now: Moment,
         request: &GatewayRequest,
     ) -> GatewayRefusal {
-        let servers = self.servers.of_service(&request.service);
+        let servers = self.usable_servers(&request.service);
         let first_end = servers.iter().filter_map(|server| self.pauses.left(&server.id, now)).min();
         let caller_left = request.deadline.max(request.abandon_at).since(now);
         let spread = RETURN_SPREAD.mul_f64(self.random.random_range(0.0..1.0));
@@ -79,7 +79,7 @@
 
     /// Returns whether all servers of `service` are paused.
     pub(crate) fn are_all_paused(&self, now: Moment, service: &ServiceName) -> bool {
-        let servers = self.servers.of_service(service);
+        let servers = self.usable_servers(service);
         !servers.is_empty() && servers.iter().all(|server| self.is_paused(now, &server.id))
     }
 
@@ -91,7 +91,7 @@
         profile: &EngineProfile,
         query: &GroupQuery,
     ) -> bool {
-        let engines = self.servers.of_service(&request.service);
+        let engines = self.usable_servers(&request.service);
         let has_paused = engines.iter().any(|engine| self.is_paused(now, &engine.id));
         let idle = GroupCandidate {
             load: ServerLoad::default(),
--- a/lib/tests/test_gateway_pauses.rs
+++ b/lib/tests/test_gateway_pauses.rs
@@ -111,6 +111,20 @@
     assert!(case.retry_after.contains(&after) || is_short, "{after}");
 }
 
+// Guards against a Retry-After for the end of the pause of a server that is leaving.
+#[test]
+fn a_refused_caller_returns_for_a_server_that_stays() {
+    let mut gateway = gateway(1);
+    pause_all(&mut gateway, at(0), ms(4_000));
+    let leaving = server("p-9", "plain", 3);
+    gateway.apply_server(ServerChange::Listed(leaving.clone()));
+    gateway.record_pause(at(0), &leaving.id, ms(300));
+    gateway.record_leaving(&leaving.id);
+    let mut request = gateway.admit(at(0), &facts("/often/x")).unwrap();
+    let refusal = refused(gateway.place(at(0), &mut request));
+    assert!(refusal.retry_after.unwrap() >= ms(4_000), "{:?}", refusal.retry_after);
+}
+
 #[test_case("/often/x" ; "a plain request")]
 #[test_case("/stream/x" ; "a stream")]
 fn a_request_that_may_have_run_gets_no_promise_when_all_servers_pause(path: &str) {
