gateway: count small pieces of a body more

A piece now counts as 64 bytes, as much as an event gives, so that such an answer ends after about half as many pieces.

--- a/lib/src/transport/gateway/byte_meter.rs
+++ b/lib/src/transport/gateway/byte_meter.rs
@@ -25,7 +25,7 @@
 /// chunks, trailers, and what was read but not yet consumed.
 const MAX_OVERHEAD_BYTES: u64 = 64 * 1024;
 /// What each piece of a body counts as in addition, so that many small ones exceed the bound.
-const PIECE_BYTES: u64 = 32;
+const PIECE_BYTES: u64 = 64;
 /// What each event counts as in addition to its data, so that a stream of small events does not.
 const EVENT_BYTES: u64 = 64;
 /// The time from the first byte of a head to its last one.
