--- a/lib/src/transport/gateway/event_relay.rs
+++ b/lib/src/transport/gateway/event_relay.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::exchange::ActiveSend;
+use super::active_send::ActiveSend;
 use super::exchange::Answer;
 use super::exchange::Exchange;
 use super::exchange::StreamStart;
--- a/lib/src/transport/gateway/exchange.rs
+++ b/lib/src/transport/gateway/exchange.rs
@@ -17,11 +17,11 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use super::active_send::ActiveSend;
 use super::context::GatewayContext;
 use super::dialect::UpstreamHead;
 use super::event_relay::EventRelay;
 use super::exchange_log::refuse_early;
-use super::memory_reservation::MemoryReservation;
 use super::memory_reservation::reserve_memory;
 use super::request_body::BodyError;
 use super::request_body::BufferShare;
@@ -141,43 +141,6 @@
     }
 }
 
-/// A request in progress at a server. Dropping it closes the connection and removes the request from
-/// the server's recorded load.
-pub(crate) struct ActiveSend {
-    ctx: Rc<GatewayContext>,
-    pub(crate) dispatch: Dispatch,
-    upstream: Option<Upstream>,
-    /// The engine memory that is reserved for it; released on drop.
-    memory: Option<MemoryReservation>,
-    is_closed: bool,
-}
-
-impl ActiveSend {
-    /// Closes the connection and releases what the send holds; also done on drop.
-    pub(crate) fn close(&mut self) {
-        if std::mem::replace(&mut self.is_closed, true) {
-            return;
-        }
-        self.upstream = None;
-        self.memory = None;
-        self.ctx.gateway.borrow_mut().finish(self.ctx.now(), &self.dispatch);
-        self.ctx.notify_load_change();
-    }
-
-    /// Records that a part of the response arrived.
-    pub(crate) fn record_progress(&self, now: Moment) {
-        if let Some(memory) = &self.memory {
-            memory.record_progress(now);
-        }
-    }
-}
-
-impl Drop for ActiveSend {
-    fn drop(&mut self) {
-        self.close();
-    }
-}
-
 /// The answer to a request, up to its first part.
 pub(crate) enum Answer {
     /// A complete response.
@@ -326,14 +289,7 @@
     /// Sends the request to one server and reads the response: all of it, or up to the first event of a
     /// stream.
     pub(crate) async fn send(&self, dispatch: &Dispatch) -> Result<Answer, SendFailure> {
-        let dispatch = dispatch.clone();
-        let mut active = ActiveSend {
-            ctx: self.ctx.clone(),
-            dispatch,
-            upstream: None,
-            memory: None,
-            is_closed: false,
-        };
+        let mut active = ActiveSend::new(self.ctx.clone(), dispatch.clone());
         let (head, body) = self.await_response_head(&mut active).await?;
         self.read_response(active, head, body).await
     }
--- a/lib/src/transport/gateway/mod.rs
+++ b/lib/src/transport/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! Everything runs on one thread: an entry host has a fraction of one core, on which thread switches
 //! cost more than parallelism gains. Only the log writer has its own thread.
 
+pub(crate) mod active_send;
 pub(crate) mod byte_meter;
 pub(crate) mod clock;
 pub(crate) mod context;
@@ -21,7 +22,7 @@
 pub(crate) mod response_body;
 pub(crate) mod response_head;
 pub(crate) mod successor;
-mod telemetry;
+pub(crate) mod telemetry;
 pub(crate) mod upstream;
 
 pub use byte_meter::*;
