--- a/lib/tests/test_gateway_eras.rs
+++ b/lib/tests/test_gateway_eras.rs
@@ -112,21 +112,21 @@
 }
 
 struct OlderRead {
-    /// When the peer with the newer version is heard, and when the read is sent.
-    heard: u64,
+    /// When the peer with the newer version is seen, and when the read is sent.
+    seen: u64,
     sent: u64,
     change: CatalogChange,
 }
 
 // Guards against: a host takes a version from the copy that is below one of a live peer; and a read
 // that was only slower than the peer's is refused.
-#[test_case(OlderRead { heard: 10, sent: 20, change: CatalogChange::Older } ; "the peer had it before the read")]
-#[test_case(OlderRead { heard: 30, sent: 20, change: CatalogChange::Accepted(Some(1)) } ; "the peer had it after the read")]
-#[test_case(OlderRead { heard: 10, sent: 3_000, change: CatalogChange::Accepted(Some(1)) } ; "the peer is gone")]
+#[test_case(OlderRead { seen: 10, sent: 20, change: CatalogChange::Older } ; "the peer had it before the read")]
+#[test_case(OlderRead { seen: 30, sent: 20, change: CatalogChange::Accepted(Some(1)) } ; "the peer had it after the read")]
+#[test_case(OlderRead { seen: 10, sent: 3_000, change: CatalogChange::Accepted(Some(1)) } ; "the peer is gone")]
 fn no_version_below_one_of_a_live_peer_is_taken(case: OlderRead) {
     let (mut host, mut peer) = (gateway(1), gateway(2));
     peer.install_catalog(Catalog::new(parts(7)), at(5));
-    send_summary(&mut peer, 2, &mut host, at(case.heard));
+    send_summary(&mut peer, 2, &mut host, at(case.seen));
     let change = host.install_catalog(Catalog::new(parts(5)), at(case.sent));
     assert_eq!(change, case.change);
 }
@@ -156,21 +156,21 @@
 
 struct Start {
     seeds: &'static [u8],
-    heard: &'static [u8],
+    seen: &'static [u8],
     now: u64,
     waits: bool,
 }
 
 // Guards against: a starting host reads an older copy before it knows the versions of its peers.
-#[test_case(Start { seeds: &[], heard: &[], now: 0, waits: false } ; "no seeds")]
-#[test_case(Start { seeds: &[2, 3], heard: &[2], now: 100, waits: true } ; "a seed is silent")]
-#[test_case(Start { seeds: &[2, 3], heard: &[2, 3], now: 100, waits: false } ; "all seeds were heard")]
-#[test_case(Start { seeds: &[2, 3], heard: &[], now: 600, waits: false } ; "the seeds stay silent")]
+#[test_case(Start { seeds: &[], seen: &[], now: 0, waits: false } ; "no seeds")]
+#[test_case(Start { seeds: &[2, 3], seen: &[2], now: 100, waits: true } ; "a seed is silent")]
+#[test_case(Start { seeds: &[2, 3], seen: &[2, 3], now: 100, waits: false } ; "all seeds were seen")]
+#[test_case(Start { seeds: &[2, 3], seen: &[], now: 600, waits: false } ; "the seeds stay silent")]
 fn a_starting_host_waits_for_its_seeds(case: Start) {
     let mut host = empty_gateway(1);
     host.set_seeds(address(1), case.seeds.iter().map(|seed| address(*seed)).collect());
     host.peer_summary(at(0));
-    for seed in case.heard {
+    for seed in case.seen {
         send_summary(&mut empty_gateway(u64::from(*seed)), *seed, &mut host, at(50));
     }
     assert_eq!(!host.catalog_read_in(at(case.now)).is_zero(), case.waits);
--- a/soak/src/http_server.rs
+++ b/soak/src/http_server.rs
@@ -69,7 +69,7 @@
     }
 }
 
-/// What is sent in place of a response's bytes once a connection is spoilt.
+/// What is sent in place of a response's bytes once a connection is to send endless bytes.
 const INTERIM_RESPONSE: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
 
 /// An extension of each request: spoils its connection, so that no head of a response is ever sent.
@@ -82,7 +82,7 @@
     }
 }
 
-/// A connection that sends as many other bytes as it is given once it is spoilt.
+/// A connection that sends as many other bytes as it is given once it is to send endless bytes.
 struct SpoilableStream {
     stream: TcpStream,
     spoiler: Spoiler,
