gateway: bounds on reserved memory that hold whatever is expected

The platform allows 9,000 ms. Cause, by reading: a reservation was renewed until the expected first event plus 3.5 s, and its hold of 2 s followed. Expected delays above 3.5 s are sent, so nothing kept the sum below the bound; the bounds were not among the settings. Change: settings unused_ms and release_ms, from the platform's idle_max_ms and free_ms. A reservation is renewed without a question for at most the bound less two holds, whatever is expected; after that, and after a silence, the engine that holds it is asked, and it is renewed only while that engine states that a request uses it. So it neither lapses under a paused stream nor outlasts a dead server. Why it works: an engine's report says held when no request uses the memory, also when the first server is dead, within its stall time.

--- a/cli/tests/test_blocked_log.rs
+++ b/cli/tests/test_blocked_log.rs
@@ -48,7 +48,7 @@
         "health": address().to_string(), "peer_port": free_port(), "seeds": [],
         "metrics_port": metrics.port(), "store": address().to_string(), "memory_mb": 390,
         "descriptors": 2_000, "grace_s": 8.0, "revoke_ms": 5_000, "config_ms": 2_000,
-        "drain_ms": 2_000, "repeat_ratio": 0.2, "repeat_slack": 100, "repeat_window_s": 10,
+        "drain_ms": 2_000, "unused_ms": 9_000, "release_ms": 4_000, "repeat_ratio": 0.2, "repeat_slack": 100, "repeat_window_s": 10,
     });
     let file = std::env::temp_dir().join(format!("wasabicrank-log-{}.json", std::process::id()));
     std::fs::write(&file, settings.to_string()).expect("the settings are written");
--- a/lib/src/coordination/gateway/departures.rs
+++ b/lib/src/coordination/gateway/departures.rs
@@ -62,11 +62,13 @@
     /// ```
     /// use std::time::Duration;
     /// use wasabicrank_lib::coordination::{Gateway, GatewayBounds};
-    /// use wasabicrank_lib::state::{RetryBounds, ServerId, ZoneName};
+    /// use wasabicrank_lib::state::{MemoryBounds, RetryBounds, ServerId, ZoneName};
     /// let limit = Duration::from_secs(2);
     /// let budget = RetryBounds { ratio: 0.2, slack: 104.0, window: limit };
     /// let zone = ZoneName::new("z");
-    /// let bounds = GatewayBounds { zone, revoke: limit, config: limit, drain: limit, budget };
+    /// let memory = MemoryBounds { unused: limit, release: limit };
+    /// let bounds =
+    ///     GatewayBounds { zone, revoke: limit, config: limit, drain: limit, memory, budget };
     /// let mut gateway = Gateway::new(bounds, 1);
     /// let server = ServerId { id: "i-1".into(), born: 1 };
     /// assert!(gateway.record_leaving(&server));
--- a/lib/src/coordination/gateway/mod.rs
+++ b/lib/src/coordination/gateway/mod.rs
@@ -39,6 +39,7 @@
 use crate::state::Freshness;
 use crate::state::GatewayRetryBudget;
 use crate::state::LoadTable;
+use crate::state::MemoryBounds;
 use crate::state::Moment;
 use crate::state::PrefillDemand;
 use crate::state::RetryBounds;
@@ -60,6 +61,8 @@
     pub config: Duration,
     /// The time after which a draining server must receive no more requests.
     pub drain: Duration,
+    /// The bounds of reserved engine memory.
+    pub memory: MemoryBounds,
     /// The bounds of retries.
     pub budget: RetryBounds,
 }
@@ -130,6 +133,11 @@
         self.loads.load(server, now)
     }
 
+    /// Returns the bounds of reserved engine memory.
+    pub fn memory_bounds(&self) -> MemoryBounds {
+        self.bounds.memory
+    }
+
     /// Replaces the bounds after the settings were reloaded.
     pub fn set_bounds(&mut self, bounds: GatewayBounds) {
         self.freshness.set_revoke_bound(bounds.revoke);
--- a/lib/src/protocol/gateway/settings.rs
+++ b/lib/src/protocol/gateway/settings.rs
@@ -11,6 +11,7 @@
 
 use crate::coordination::GatewayBounds;
 use crate::protocol::LogLevel;
+use crate::state::MemoryBounds;
 use crate::state::RetryBounds;
 use crate::state::ZoneName;
 
@@ -49,6 +50,11 @@
     pub config_ms: f64,
     /// The time after which a draining server must receive no more requests, in milliseconds.
     pub drain_ms: f64,
+    /// The time for which reserved engine memory may stay unused, in milliseconds.
+    pub unused_ms: f64,
+    /// The time within which reserved engine memory must be free after its last request, in
+    /// milliseconds.
+    pub release_ms: f64,
     /// Retries allowed per request.
     pub repeat_ratio: f64,
     /// Retries allowed regardless of the number of requests.
@@ -160,6 +166,8 @@
             ("revoke_ms", self.revoke_ms / 1_000.0),
             ("config_ms", self.config_ms / 1_000.0),
             ("drain_ms", self.drain_ms / 1_000.0),
+            ("unused_ms", self.unused_ms / 1_000.0),
+            ("release_ms", self.release_ms / 1_000.0),
             ("repeat_window_s", self.repeat_window_s),
         ];
         for (field, seconds) in durations {
@@ -187,6 +195,10 @@
             revoke: Duration::from_secs_f64(self.revoke_ms / 1_000.0),
             config: Duration::from_secs_f64(self.config_ms / 1_000.0),
             drain: Duration::from_secs_f64(self.drain_ms / 1_000.0),
+            memory: MemoryBounds {
+                unused: Duration::from_secs_f64(self.unused_ms / 1_000.0),
+                release: Duration::from_secs_f64(self.release_ms / 1_000.0),
+            },
             budget: RetryBounds {
                 ratio: self.repeat_ratio,
                 slack: self.repeat_slack,
--- a/lib/src/transport/gateway/dialect.rs
+++ b/lib/src/transport/gateway/dialect.rs
@@ -62,7 +62,7 @@
     Invalid,
 }
 
-/// An order to an engine, as an HTTP request.
+/// An order or question to an engine, as an HTTP request.
 pub type Order = Request<Full<Bytes>>;
 
 /// An engine's response to an order that reserves or releases memory.
@@ -96,6 +96,12 @@
     /// Returns the order that releases reserved memory.
     fn release_order(&self, server: &Server, ticket: &MemoryTicket) -> Order;
 
+    /// Returns the request for an engine's report on its reservations.
+    fn report_request(&self, server: &Server) -> Order;
+
+    /// Returns whether an engine's report states that a request uses `ticket`.
+    fn reports_use(&self, report: &[u8], ticket: &MemoryTicket) -> bool;
+
     /// Parses the response to an order.
     fn order_outcome(&self, head: &response::Parts) -> OrderOutcome;
 }
--- a/lib/src/transport/gateway/memory_reservation.rs
+++ b/lib/src/transport/gateway/memory_reservation.rs
@@ -1,13 +1,15 @@
 //! Reserves memory at several engines for a prompt that does not fit one engine, and releases it.
 //!
-//! Reservations are short leases that are renewed while the response arrives or may still arrive. So
-//! the memory is soon free again when this process or the responding server dies, or when an order is
-//! carried out seconds late, even if nobody releases it.
+//! Reservations are short leases that are renewed while the response arrives or may still arrive, or
+//! while the engine states that a request uses the memory. So the memory is soon free again when this
+//! process or the responding server dies, or when an order is carried out seconds late, even if nobody
+//! releases it.
 
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use futures_util::future::join_all;
 use slog::info;
 use tokio::task::JoinHandle;
@@ -22,19 +24,20 @@
 use crate::coordination::Dispatch;
 use crate::coordination::MemoryTicket;
 use crate::coordination::SendResult;
+use crate::state::MEMORY_HOLD;
 use crate::state::Moment;
+use crate::state::RenewalStep;
 use crate::state::Server;
 use crate::state::TicketRenewal;
 
-/// How long a reservation lasts without a renewal. A server may carry out an order that it did not
-/// answer, but no earlier than two seconds later, when this hold is over.
-const HOLD_DURATION: Duration = Duration::from_millis(2_000);
 /// How often a reservation is renewed.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(700);
 /// The delay before a failed renewal is sent again.
 const RENEWAL_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// The timeout for an engine's response to an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
+/// The largest report of an engine that is read, in bytes.
+const MAX_REPORT_BYTES: usize = 256 * 1024;
 /// How many times a release is tried; after that the reservation expires by itself.
 const MAX_RELEASE_ATTEMPTS: u32 = 3;
 
@@ -79,7 +82,9 @@
     if dispatch.helpers.iter().all(|helper| helper.ticket.is_none()) {
         return Ok(None);
     }
-    let renewal = Rc::new(Cell::new(TicketRenewal::begin(ctx.now(), dispatch.expected_delay)));
+    let bounds = ctx.gateway.borrow().memory_bounds();
+    let renewal =
+        Rc::new(Cell::new(TicketRenewal::begin(ctx.now(), dispatch.expected_delay, bounds)));
     let wanted = dispatch.helpers.iter().filter_map(|helper| {
         let ticket = helper.ticket.as_ref()?;
         Some(reserve(ctx, &helper.server, ticket, &renewal))
@@ -96,7 +101,7 @@
     renewal: &Rc<Cell<TicketRenewal>>,
 ) -> Option<ServerReservation> {
     let outcome =
-        send_order(server, ctx, ctx.dialect.reserve_order(server, ticket, HOLD_DURATION)).await;
+        send_order(server, ctx, ctx.dialect.reserve_order(server, ticket, MEMORY_HOLD)).await;
     let now = ctx.now();
     if let Some(log) = ctx.telemetry.limited_log(now, LineKind::Failure) {
         info!(log, "memory ordered"; "server" => &*server.id.id, "ticket" => &ticket.name,
@@ -119,7 +124,8 @@
     None
 }
 
-/// Renews a reservation while the response may still arrive; after that it expires.
+/// Renews a reservation while the response may still arrive or the engine states that a request uses
+/// it; after that it expires.
 async fn renew(
     ctx: Rc<GatewayContext>,
     server: Server,
@@ -129,13 +135,16 @@
     let mut pause = RENEWAL_INTERVAL;
     loop {
         sleep(pause).await;
-        let is_due = renewal.get().is_due(ctx.now());
-        if is_due && ctx.is_paused(&server.id) {
+        if ctx.is_paused(&server.id) {
             pause = RENEWAL_RETRY_DELAY;
             continue;
         }
+        let is_due = match renewal.get().step(ctx.now()) {
+            RenewalStep::Renew => true,
+            RenewalStep::AskEngine => is_used(&server, &ctx, &ticket).await,
+        };
         let is_renewed = is_due && {
-            let renewed = ctx.dialect.reserve_order(&server, &ticket, HOLD_DURATION);
+            let renewed = ctx.dialect.reserve_order(&server, &ticket, MEMORY_HOLD);
             send_order(&server, &ctx, renewed).await == Some(OrderOutcome::Done)
         };
         let line =
@@ -151,6 +160,25 @@
     }
 }
 
+/// Asks the engine whether a request uses the reservation; `false` if it does not answer in time.
+async fn is_used(server: &Server, ctx: &GatewayContext, ticket: &MemoryTicket) -> bool {
+    let exchange = async {
+        let mut upstream = Upstream::connect(server.address).await.ok()?;
+        let response = upstream.send(ctx.dialect.report_request(server)).await.ok()?;
+        let (head, mut body) = response.into_parts();
+        ctx.record_if_leaving(&server.id, &head);
+        let mut report = BytesMut::new();
+        while let Some(data) = body.next().await {
+            report.extend_from_slice(&data.ok()?);
+            if report.len() > MAX_REPORT_BYTES {
+                return None;
+            }
+        }
+        Some(head.status.is_success() && ctx.dialect.reports_use(&report, ticket))
+    };
+    timeout(ORDER_TIMEOUT, exchange).await.ok().flatten().unwrap_or(false)
+}
+
 async fn release(ctx: Rc<GatewayContext>, server: Server, ticket: MemoryTicket) {
     for _ in 0..MAX_RELEASE_ATTEMPTS {
         if ctx.is_paused(&server.id) {
--- a/lib/tests/gateways/mod.rs
+++ b/lib/tests/gateways/mod.rs
@@ -12,6 +12,8 @@
 
 pub const HOST: &str = "calls.example";
 pub const KEY: &str = "key-a";
+pub const MEMORY: MemoryBounds =
+    MemoryBounds { unused: Duration::from_secs(9), release: Duration::from_secs(4) };
 pub const REVOKE: Duration = Duration::from_secs(5);
 
 pub fn ms(millis: u64) -> Duration {
@@ -85,6 +87,7 @@
         revoke: REVOKE,
         config: ms(2_000),
         drain: ms(2_000),
+        memory: MEMORY,
         budget: RetryBounds { ratio: 0.2, slack: 104.0, window: Duration::from_secs(10) },
     }
 }
--- a/lib/tests/test_gateway_logs.rs
+++ b/lib/tests/test_gateway_logs.rs
@@ -40,8 +40,8 @@
 
 const SETTINGS: &str = r#"{"host":"h","zone":"z","callers":"10.0.0.1:80","health":"10.0.0.1:81",
     "peer_port":7000,"seeds":["10.0.0.2:82"],"metrics_port":9464,"store":"10.0.0.9:80",
-    "memory_mb":390,"descriptors":6150,"grace_s":8,"revoke_ms":5000,"config_ms":2000,"drain_ms":2000,"repeat_ratio":0.2,
-    "repeat_slack":104,"repeat_window_s":10}"#;
+    "memory_mb":390,"descriptors":6150,"grace_s":8,"revoke_ms":5000,"config_ms":2000,"drain_ms":2000,
+    "unused_ms":9000,"release_ms":4000,"repeat_ratio":0.2,"repeat_slack":104,"repeat_window_s":10}"#;
 
 struct Setting {
     find: &'static str,
@@ -52,6 +52,7 @@
 #[test_case(Setting { find: "\"host\":\"h\"", put: "\"host\":\"\"", says: "host is empty" } ; "no name")]
 #[test_case(Setting { find: "\"peer_port\":7000", put: "\"peer_port\":0", says: "peer_port is 0" } ; "no port")]
 #[test_case(Setting { find: "\"grace_s\":8", put: "\"grace_s\":-1", says: "grace_s" } ; "a negative time")]
+#[test_case(Setting { find: "\"unused_ms\":9000", put: "\"unused_ms\":0", says: "unused_ms" } ; "no time for unused memory")]
 #[test_case(Setting { find: "\"repeat_ratio\":0.2", put: "\"repeat_ratio\":-0.2", says: "repeat_ratio" } ; "a negative ratio")]
 #[test_case(Setting { find: "10.0.0.9:80", put: "store.example:80", says: "socket address syntax" } ; "a host name instead of an address")]
 #[test_case(Setting { find: "\"host\"", put: "\"hots\":1,\"host\"", says: "hots" } ; "an unknown field")]
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -31,6 +31,8 @@
 pub(crate) const REVOKE_MS: u64 = 5_000;
 pub(crate) const CONFIG_MS: u64 = 2_000;
 pub(crate) const DRAIN_MS: u64 = 2_000;
+const UNUSED_MS: u64 = 9_000;
+const RELEASE_MS: u64 = 4_000;
 pub(crate) const RETRY_RATIO: f64 = 0.2;
 pub(crate) const RETRY_SLACK: f64 = 40.0;
 pub(crate) const RETRY_WINDOW_MS: u64 = 10_000;
@@ -86,7 +88,8 @@
             "callers": callers.to_string(), "health": health.to_string(), "peer_port": PEER_PORT,
             "seeds": seeds, "metrics_port": METRICS_PORT, "store": store.addr().to_string(),
             "memory_mb": 390, "descriptors": 2_000, "grace_s": STOP_GRACE.as_secs_f64(),
-            "revoke_ms": REVOKE_MS, "config_ms": CONFIG_MS, "drain_ms": DRAIN_MS, "repeat_ratio": RETRY_RATIO, "repeat_slack": RETRY_SLACK,
+            "revoke_ms": REVOKE_MS, "config_ms": CONFIG_MS, "drain_ms": DRAIN_MS,
+            "unused_ms": UNUSED_MS, "release_ms": RELEASE_MS, "repeat_ratio": RETRY_RATIO, "repeat_slack": RETRY_SLACK,
             "repeat_window_s": RETRY_WINDOW_MS / 1_000,
         });
         Ok(Host {
--- a/workload/src/gateway/fleet.rs
+++ b/workload/src/gateway/fleet.rs
@@ -12,6 +12,7 @@
 use wasabicrank_lib::state::CallerLimits;
 use wasabicrank_lib::state::Catalog;
 use wasabicrank_lib::state::CatalogParts;
+use wasabicrank_lib::state::MemoryBounds;
 use wasabicrank_lib::state::Moment;
 use wasabicrank_lib::state::RetryBounds;
 use wasabicrank_lib::state::Route;
@@ -60,6 +61,7 @@
         revoke: Duration::from_secs(100_000),
         config: Duration::from_secs(2),
         drain: Duration::from_secs(2),
+        memory: MemoryBounds { unused: Duration::from_secs(9), release: Duration::from_secs(4) },
         budget: RetryBounds { ratio: 0.2, slack: 104.0, window: Duration::from_secs(10) },
     };
     let mut gateway = Gateway::new(bounds, load.seed.wrapping_mul(1_000) + host as u64 + 1);
