gateway: divide large fleets into cells

Cause: each host sent its load to every other one up to ten times per second. Change: above 64 hosts the fleet is divided into cells of 32 to 64 hosts. Hosts of a cell exchange loads, read and verify the configuration for each other and place requests at the servers of their cell, an equal part of each zone's. All hosts derive the division from the hosts and servers that they know of; the number of cells is a power of two, so that two hosts that see different numbers still agree on the coarser cells. Hosts of other cells get a small summary without loads every 15 s, by which the fleet knows its size, and each message that lists hosts mentions a sample of them. A host that was heard for the first time is sent all known addresses at once. If fewer than 0.7 of a cell's hosts are live, the division follows from the live ones. Fleets of up to 64 hosts are one cell, as before.

--- a/lib/src/coordination/gateway/cluster_view.rs
+++ b/lib/src/coordination/gateway/cluster_view.rs
@@ -11,6 +11,7 @@
 use super::ServerChange;
 use super::StopPhase;
 use super::SummaryScope;
+use super::SummaryTarget;
 use crate::state::Catalog;
 use crate::state::Moment;
 use crate::state::SourceEra;
@@ -177,8 +178,10 @@
             let verified = sent.0.saturating_sub(age.as_micros() as u64);
             self.verify_version(summary.version, Moment(verified));
         }
-        let loads = summary.loads.iter().copied();
-        self.loads.apply_summary(summary.incarnation, loads, now);
+        if !summary.loads.is_empty() || self.peers.cells().has_member(&received.from) {
+            let loads = summary.loads.iter().copied();
+            self.loads.apply_summary(summary.incarnation, loads, now);
+        }
         self.peers.apply_summary(now, received)
     }
 
@@ -189,12 +192,17 @@
 
     /// Returns the number of known entry hosts, including this one.
     pub(crate) fn host_count(&self, now: Moment) -> usize {
-        self.peers.addresses(now).len() + 1
+        self.peers.known_count(now) + 1
+    }
+
+    /// Returns the hosts to send a summary to now.
+    pub fn summary_targets(&mut self, now: Moment, scope: SummaryScope) -> Vec<SummaryTarget> {
+        self.peers.summary_targets(now, scope)
     }
 
-    /// Returns the addresses to send a summary to now.
-    pub fn summary_addresses(&mut self, now: Moment, scope: SummaryScope) -> Vec<Ipv4Addr> {
-        self.peers.summary_addresses(now, scope)
+    /// Returns the number of cells into which the fleet is divided.
+    pub fn cell_count(&self) -> usize {
+        self.peers.cells().count()
     }
 
     /// Returns the shortest and the longest interval between two summaries.
--- a/lib/src/coordination/gateway/departures.rs
+++ b/lib/src/coordination/gateway/departures.rs
@@ -84,9 +84,11 @@
         dispatch.servers().any(|server| self.departures.contains(&server.id))
     }
 
-    /// Returns the servers of `service` that may get requests, in an order that all hosts share.
+    /// Returns the servers of `service` that may get requests: those of this host's cell, in an order
+    /// that all hosts share.
     pub(crate) fn usable_servers(&self, service: &ServiceName) -> Vec<&Server> {
         let mut servers = self.servers.of_service(service);
+        self.peers.cells().retain_servers(&mut servers);
         servers.retain(|server| !self.departures.contains(&server.id));
         servers
     }
--- a/lib/src/coordination/gateway/mod.rs
+++ b/lib/src/coordination/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! clock, opens no socket and starts no thread, so the transport and the tests drive it in the same
 //! way.
 
+pub(crate) mod cells;
 pub(crate) mod cluster_view;
 pub(crate) mod departures;
 pub(crate) mod pauses;
@@ -18,6 +19,7 @@
 pub(crate) mod source_view;
 pub(crate) mod stop;
 
+pub use cells::*;
 pub use cluster_view::*;
 pub use peers::*;
 pub use placement::*;
--- a/lib/src/coordination/gateway/peers.rs
+++ b/lib/src/coordination/gateway/peers.rs
@@ -1,10 +1,12 @@
-//! The other entry hosts: their addresses and the last summary of each.
+//! The other entry hosts: their addresses and the last summary of each, and who is sent a summary when.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use super::CellHost;
+use super::Cells;
 use crate::state::Moment;
 use crate::state::ServerLoad;
 use crate::state::SourcePoint;
@@ -20,6 +22,17 @@
 const SENT_HISTORY: usize = 256;
 /// One in this many messages to a peer lists all live hosts; the others list only that peer.
 const FULL_KNOWN_PERIOD: u64 = 17;
+/// How long it takes until each host of another cell was sent a summary, and how long a host of another
+/// cell that was heard is mentioned to others.
+const OUTSIDER_PERIOD: Duration = Duration::from_secs(15);
+const MENTION_TTL: Duration = Duration::from_secs(20);
+/// The most hosts of other cells that one message mentions: to a host that was heard for the first time,
+/// and to others.
+const MAX_MENTIONS: usize = 400;
+const MENTION_SAMPLE: usize = 16;
+/// The most acknowledgements in one message. While a large fleet starts, a host may know more live hosts
+/// than one cell has, and the message must stay within a datagram.
+const MAX_FULL_ACKS: usize = 256;
 /// The shortest interval between two summaries to the peers of this host's zone: a constant plus a
 /// part per peer, so that the datagrams that a host receives per second do not grow with the number
 /// of peers.
@@ -34,9 +47,9 @@
 /// a summary within [`MAX_SUMMARY_INTERVAL`].
 const START_WAIT: Duration = Duration::from_millis(500);
 /// The maximum number of peers that are stored.
-const MAX_PEERS: usize = 1_000;
+const MAX_PEERS: usize = 4_096;
 
-/// Acknowledges the messages of a host up to a sequence number.
+/// Acknowledges the messages of a host up to a sequence number, or only mentions the host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HostAck {
     /// The address of the acknowledged host.
@@ -47,6 +60,17 @@
     pub sequence: u64,
 }
 
+impl HostAck {
+    /// Mentions the host at `address` without acknowledging a message.
+    fn mention(address: Ipv4Addr) -> HostAck {
+        HostAck { address, incarnation: 0, sequence: 0 }
+    }
+
+    fn is_mention(&self) -> bool {
+        self.sequence == 0
+    }
+}
+
 /// The state that one entry host sends to the others.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PeerSummary {
@@ -75,12 +99,27 @@
 }
 
 impl PeerSummary {
-    /// Returns the summary for the peer at `address`. The peer needs only the acknowledgement of
-    /// its own messages; one message in `FULL_KNOWN_PERIOD` lists all other hosts as well.
-    pub fn for_peer(&self, address: Ipv4Addr) -> PeerSummary {
+    /// Returns the summary for `target`. A host of the cell needs only the acknowledgement of its own
+    /// messages; one message in `FULL_KNOWN_PERIOD` lists the other hosts as well.
+    pub fn for_peer(&self, target: SummaryTarget) -> PeerSummary {
         let mut summary = self.clone();
-        if !self.sequence.is_multiple_of(FULL_KNOWN_PERIOD) {
-            summary.known.retain(|ack| ack.address == address);
+        let is_full = self.sequence.is_multiple_of(FULL_KNOWN_PERIOD);
+        let is_receiver = |ack: &HostAck| ack.address == target.address;
+        summary.known.retain(is_receiver);
+        let others = self.known.iter().filter(|ack| !is_receiver(ack));
+        match target.role {
+            PeerRole::Newcomer => {
+                let mentions = others.map(|ack| HostAck::mention(ack.address));
+                summary.known.extend(mentions.take(MAX_MENTIONS));
+            }
+            PeerRole::Member if is_full => {
+                let (mentions, acks): (Vec<HostAck>, Vec<HostAck>) =
+                    others.partition(|ack| ack.is_mention());
+                summary.known.extend(acks.into_iter().take(MAX_FULL_ACKS));
+                summary.known.extend(mentions.into_iter().take(MENTION_SAMPLE));
+            }
+            PeerRole::Member => {}
+            PeerRole::Outsider => summary.loads.clear(),
         }
         summary
     }
@@ -94,12 +133,30 @@
     pub summary: PeerSummary,
 }
 
+/// What the receiver of a summary is to its sender.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerRole {
+    /// A host of the same cell.
+    Member,
+    /// A host of another cell, which needs no loads.
+    Outsider,
+    /// A host that was heard for the first time, which is told of all others.
+    Newcomer,
+}
+
+/// A receiver of a summary.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SummaryTarget {
+    pub address: Ipv4Addr,
+    pub role: PeerRole,
+}
+
 /// Which peers a summary goes to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SummaryScope {
     /// Those of this host's zone, and the others when their interval has elapsed.
     Due,
-    /// All peers, for news that they need at once.
+    /// All peers of the cell, for news that they need at once.
     All,
 }
 
@@ -135,6 +192,13 @@
     /// The addresses learned from peers, with the time of the latest mention.
     learned: HashMap<Ipv4Addr, Moment>,
     peers: HashMap<Ipv4Addr, Peer>,
+    cells: Cells,
+    /// The hosts that were heard for the first time since the last summary.
+    newcomers: Vec<Ipv4Addr>,
+    /// Until when the share of summaries to other cells that is due has been sent.
+    outsiders_sent: Option<Moment>,
+    /// The host of another cell that was sent a summary last.
+    last_outsider: Option<Ipv4Addr>,
 }
 
 impl Peers {
@@ -150,6 +214,10 @@
             seeds: Vec::new(),
             learned: HashMap::new(),
             peers: HashMap::new(),
+            cells: Cells::default(),
+            newcomers: Vec::new(),
+            outsiders_sent: None,
+            last_outsider: None,
         }
     }
 
@@ -166,8 +234,26 @@
         self.seeds = seeds;
     }
 
-    /// Starts a new message; returns its sequence number and the acknowledgements of all live
-    /// hosts.
+    /// Returns the division of the fleet into cells.
+    pub(crate) fn cells(&self) -> &Cells {
+        &self.cells
+    }
+
+    fn review_cells(&mut self, now: Moment) {
+        let Some(own) = self.own_address else { return };
+        let mut cells = std::mem::take(&mut self.cells);
+        cells.review(now, own, || {
+            let is_silent = |address: &Ipv4Addr| {
+                self.peers.get(address).is_some_and(|peer| now.since(peer.last_heard) > PEER_TTL)
+            };
+            let host = |address| CellHost { address, is_silent: is_silent(&address) };
+            self.addresses(now).into_iter().map(host).collect()
+        });
+        self.cells = cells;
+    }
+
+    /// Starts a new message; returns its sequence number, the acknowledgements of all live hosts of the
+    /// cell, and mentions of hosts of other cells.
     pub(crate) fn begin_message(&mut self, now: Moment) -> (u64, Vec<HostAck>) {
         self.sequence += 1;
         self.first_sent.get_or_insert(now);
@@ -176,12 +262,30 @@
             self.sent.pop_front();
         }
         let live = self.peers.iter().filter(|(_, peer)| now.since(peer.last_heard) <= PEER_TTL);
-        let known = live.map(|(address, peer)| HostAck {
+        let members = live.filter(|(address, _)| self.cells.has_member(address));
+        let known = members.map(|(address, peer)| HostAck {
             address: *address,
             incarnation: peer.incarnation,
             sequence: peer.sequence,
         });
-        (self.sequence, known.collect())
+        (self.sequence, known.chain(self.mentions(now)).collect())
+    }
+
+    /// Mentions hosts of other cells, beginning with different ones in each message.
+    fn mentions(&self, now: Moment) -> Vec<HostAck> {
+        let outsiders = self.peers.iter().filter(|(address, peer)| {
+            !self.cells.has_member(address) && now.since(peer.last_heard) <= MENTION_TTL
+        });
+        let mut mentions: Vec<HostAck> =
+            outsiders.map(|(address, _)| HostAck::mention(*address)).collect();
+        if !mentions.is_empty() {
+            mentions.sort_unstable_by_key(|mention| mention.address);
+            let messages = self.sequence as usize / FULL_KNOWN_PERIOD as usize;
+            let first = messages * MENTION_SAMPLE % mentions.len();
+            mentions.rotate_left(first);
+            mentions.truncate(MAX_MENTIONS);
+        }
+        mentions
     }
 
     /// Returns a lower bound of the time at which `summary` was sent: when this host sent the
@@ -209,7 +313,11 @@
         let version_since = before
             .filter(|peer| peer.version == summary.version)
             .map_or(now, |peer| peer.version_since);
-        let is_new = before.is_none_or(|peer| now.since(peer.last_heard) > PEER_TTL);
+        let is_member = self.cells.has_member(&received.from);
+        let is_new = before.is_none_or(|peer| is_member && now.since(peer.last_heard) > PEER_TTL);
+        if before.is_none_or(|peer| peer.incarnation != summary.incarnation) {
+            self.newcomers.push(received.from);
+        }
         if is_new {
             self.peers.retain(|_, peer| now.since(peer.last_heard) <= PEER_RETENTION);
             self.learned.retain(|_, at| now.since(*at) <= PEER_RETENTION);
@@ -251,19 +359,75 @@
         addresses
     }
 
-    /// Returns the addresses to send a summary to now.
-    pub(crate) fn summary_addresses(&mut self, now: Moment, scope: SummaryScope) -> Vec<Ipv4Addr> {
-        let mut addresses = self.addresses(now);
-        let far =
-            addresses.iter().filter(|address| !self.is_zone_peer(now, address)).count() as u32;
+    /// Returns the number of [`Peers::addresses`].
+    pub(crate) fn known_count(&self, now: Moment) -> usize {
+        let is_recent = |at: Moment| now.since(at) <= PEER_RETENTION;
+        let is_heard = |address: &Ipv4Addr| {
+            self.peers.get(address).is_some_and(|peer| is_recent(peer.last_heard))
+        };
+        let is_learned =
+            |address: &Ipv4Addr| self.learned.get(address).is_some_and(|at| is_recent(*at));
+        let is_own = |address: &&Ipv4Addr| Some(**address) == self.own_address;
+        let heard = self.peers.keys().filter(|address| is_heard(address));
+        let learned =
+            self.learned.keys().filter(|address| is_learned(address) && !is_heard(address));
+        let seeds = self.seeds.iter().enumerate().filter(|(position, address)| {
+            let is_repeated = self.seeds[..*position].contains(address);
+            !is_repeated && !is_learned(address) && !is_heard(address)
+        });
+        let known = heard.chain(learned).chain(seeds.map(|(_, address)| address));
+        known.filter(|address| !is_own(address)).count()
+    }
+
+    /// Returns the hosts to send a summary to now.
+    pub(crate) fn summary_targets(
+        &mut self,
+        now: Moment,
+        scope: SummaryScope,
+    ) -> Vec<SummaryTarget> {
+        self.review_cells(now);
+        let (mut members, outsiders): (Vec<Ipv4Addr>, Vec<Ipv4Addr>) =
+            self.addresses(now).into_iter().partition(|address| self.cells.has_member(address));
+        let far = members.iter().filter(|address| !self.is_zone_peer(now, address)).count() as u32;
         let interval = (CROSS_ZONE_INTERVAL_PER_PEER * far).min(MAX_SUMMARY_INTERVAL);
         let is_due = self.last_broadcast.is_none_or(|at| now.since(at) >= interval);
         if is_due || scope == SummaryScope::All {
             self.last_broadcast = Some(now);
         } else {
-            addresses.retain(|address| self.is_zone_peer(now, address));
+            members.retain(|address| self.is_zone_peer(now, address));
         }
-        addresses
+        let outsiders = self.due_outsiders(now, &outsiders);
+        let newcomers = std::mem::take(&mut self.newcomers);
+        let role = |addresses: Vec<Ipv4Addr>, role| {
+            addresses.into_iter().map(move |address| SummaryTarget { address, role })
+        };
+        let mut targets: Vec<SummaryTarget> = role(newcomers.clone(), PeerRole::Newcomer)
+            .chain(role(members, PeerRole::Member))
+            .chain(role(outsiders, PeerRole::Outsider))
+            .collect();
+        targets.retain(|target| {
+            target.role == PeerRole::Newcomer || !newcomers.contains(&target.address)
+        });
+        targets
+    }
+
+    /// Returns the hosts of other cells that are sent a summary now; each is within `OUTSIDER_PERIOD`.
+    fn due_outsiders(&mut self, now: Moment, outsiders: &[Ipv4Addr]) -> Vec<Ipv4Addr> {
+        let Some(count) = u32::try_from(outsiders.len()).ok().filter(|count| *count > 0) else {
+            self.outsiders_sent = Some(now);
+            return Vec::new();
+        };
+        let pause = OUTSIDER_PERIOD / count;
+        let sent = self.outsiders_sent.unwrap_or(now);
+        let due = (now.since(sent).as_micros() / pause.as_micros().max(1)) as u32;
+        self.outsiders_sent = Some(sent + pause * due);
+        // Hosts begin at different places, so that no host is sent many summaries at once.
+        let after = self.last_outsider.or(self.own_address);
+        let next = outsiders.partition_point(|address| Some(*address) <= after);
+        let chosen: Vec<Ipv4Addr> =
+            outsiders.iter().cycle().skip(next).take(due.min(count) as usize).copied().collect();
+        self.last_outsider = chosen.last().copied().or(after);
+        chosen
     }
 
     /// Returns the shortest and the longest interval until the next summary.
@@ -334,7 +498,11 @@
         self.live(now).filter(|peer| peer.is_usable && peer.incarnation < self.incarnation).count()
     }
 
+    /// Returns the live hosts of the cell.
     fn live(&self, now: Moment) -> impl Iterator<Item = &Peer> {
-        self.peers.values().filter(move |peer| now.since(peer.last_heard) <= PEER_TTL)
+        let live = self.peers.iter().filter(move |(address, peer)| {
+            now.since(peer.last_heard) <= PEER_TTL && self.cells.has_member(address)
+        });
+        live.map(|(_, peer)| peer)
     }
 }
--- a/lib/src/transport/gateway/peer_socket.rs
+++ b/lib/src/transport/gateway/peer_socket.rs
@@ -38,13 +38,13 @@
     let mut scope = SummaryScope::All;
     loop {
         let now = ctx.now();
-        let addresses = ctx.gateway.borrow_mut().summary_addresses(now, scope);
+        let targets = ctx.gateway.borrow_mut().summary_targets(now, scope);
         let summary = ctx.gateway.borrow_mut().peer_summary(now);
-        for address in &addresses {
-            match encode_summary(&summary.for_peer(*address)) {
+        for target in targets {
+            match encode_summary(&summary.for_peer(target)) {
                 Ok(datagram) => {
                     // An unreachable peer is expected; the next summary follows soon.
-                    let _ = socket.try_send_to(&datagram, (*address, port).into());
+                    let _ = socket.try_send_to(&datagram, (target.address, port).into());
                 }
                 Err(error) => {
                     warn!(ctx.telemetry.log(), "a summary cannot be encoded"; "error" => %error);
--- a/lib/tests/test_gateway_beliefs.rs
+++ b/lib/tests/test_gateway_beliefs.rs
@@ -235,7 +235,7 @@
 fn a_restart_under_the_same_id_is_another_server() {
     let mut list = ServerList::default();
     let first = server("p-1", "plain", 1);
-    let second = Server { id: ServerId { id: "p-1".into(), born: 2 }, ..first.clone() };
+    let second = Server { id: ServerId::new("p-1", 2), ..first.clone() };
     list.apply(ServerChange::Listed(first.clone()));
     list.apply(ServerChange::Listed(second.clone()));
     assert!(!list.contains(&first.id) && list.contains(&second.id));
@@ -271,8 +271,9 @@
     for peer in 2..=6 {
         send_summary(&mut gateway(peer), peer as u8, &mut host, at(1));
     }
+    let receiver = SummaryTarget { address: address(3), role: PeerRole::Member };
     let summaries: Vec<PeerSummary> =
-        (0..40).map(|_| host.peer_summary(at(2)).for_peer(address(3))).collect();
+        (0..40).map(|_| host.peer_summary(at(2)).for_peer(receiver)).collect();
     let acks_receiver =
         |summary: &PeerSummary| summary.known.iter().any(|one| one.address == address(3));
     assert!(summaries.iter().all(acks_receiver));
@@ -282,7 +283,7 @@
 
 #[test]
 fn expired_peers_make_room_for_new_ones() {
-    const MAX_PEERS: u64 = 1_000;
+    const MAX_PEERS: u64 = 4_096;
     let mut host = gateway(1);
     let receive_from = |host: &mut Gateway, number: u64, now: Moment| {
         let from = Ipv4Addr::from(0x0a02_0000 + number as u32);
--- a/workload/src/gateway/replay.rs
+++ b/workload/src/gateway/replay.rs
@@ -17,6 +17,7 @@
 use wasabicrank_lib::coordination::ReceivedSummary;
 use wasabicrank_lib::coordination::SendResult;
 use wasabicrank_lib::coordination::SummaryScope;
+use wasabicrank_lib::coordination::SummaryTarget;
 use wasabicrank_lib::state::EngineProfile;
 use wasabicrank_lib::state::Moment;
 use wasabicrank_lib::state::RequestFacts;
@@ -496,10 +497,12 @@
     fn summarize(&mut self, host: usize, scope: SummaryScope) {
         self.is_summary_due[host] = false;
         self.summarized[host] = self.now;
-        let addresses = self.gateways[host].summary_addresses(self.now, scope);
+        let targets = self.gateways[host].summary_targets(self.now, scope);
         let summary = self.gateways[host].peer_summary(self.now);
-        for peer in (0..self.setup.hosts).filter(|peer| addresses.contains(&address(*peer))) {
-            let heard = ReceivedSummary { from: address(host), summary: summary.clone() };
+        for peer in 0..self.setup.hosts {
+            let is_peer = |target: &&SummaryTarget| target.address == address(peer);
+            let Some(target) = targets.iter().find(is_peer) else { continue };
+            let heard = ReceivedSummary { from: address(host), summary: summary.for_peer(*target) };
             self.gateways[peer].apply_summary(self.now, heard);
         }
     }
