gateway: placement on borrowed views, and lines that say why

Cause: place copied all servers of a service twice, computed a hash of each server's id, looked each one up in every peer's summary, and sorted all engines up to sixteen times for each request. A refusal's log line gave none of the figures that it followed from. Change: the choice reads borrowed servers and changes nothing; its result is carried out afterwards. A server's digest is computed once with its identity. Peers' loads are stored by server. The cost of an engine that does not depend on the group is computed once, and only the cheapest engines of a group are sorted. The lines request ended (of refusals that placement decides) and the new request waits give the inputs: servers and how many of them are paused, tried, avoided and full; value, price, load factor, backlog, queue, expected first event, time left, and the age of the loads.

--- a/lib/src/coordination/gateway/departures.rs
+++ b/lib/src/coordination/gateway/departures.rs
@@ -70,7 +70,7 @@
     /// let bounds =
     ///     GatewayBounds { zone, revoke: limit, config: limit, drain: limit, memory, budget };
     /// let mut gateway = Gateway::new(bounds, 1);
-    /// let server = ServerId { id: "i-1".into(), born: 1 };
+    /// let server = ServerId::new("i-1", 1);
     /// assert!(gateway.record_leaving(&server));
     /// assert!(!gateway.record_leaving(&server));
     /// ```
--- a/lib/src/coordination/gateway/mod.rs
+++ b/lib/src/coordination/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! clock, opens no socket and starts no thread, so the transport and the tests drive it in the same
 //! way.
 
+pub(crate) mod candidates;
 pub(crate) mod cells;
 pub(crate) mod cluster_view;
 pub(crate) mod departures;
@@ -19,6 +20,8 @@
 pub(crate) mod source_view;
 pub(crate) mod stop;
 
+pub use candidates::PlacementInputs;
+pub use candidates::PrefillInputs;
 pub use cells::*;
 pub use cluster_view::*;
 pub use peers::*;
--- a/lib/src/coordination/gateway/placement.rs
+++ b/lib/src/coordination/gateway/placement.rs
@@ -8,21 +8,18 @@
 use super::GatewayRefusal;
 use super::GatewayRequest;
 use super::RefusalReason;
-use crate::state::ChoiceOutcome;
+use super::candidates::ChosenGroup;
+use super::candidates::EngineChoice;
+use super::candidates::EngineOutcome;
+use super::candidates::ServerChoice;
 use crate::state::EngineProfile;
 use crate::state::GapClass;
-use crate::state::GroupCandidate;
-use crate::state::GroupChoice;
-use crate::state::GroupQuery;
 use crate::state::Moment;
 use crate::state::PromptSize;
 use crate::state::RunningResponse;
 use crate::state::SendId;
 use crate::state::Server;
 use crate::state::ServerWork;
-use crate::state::ZoneName;
-use crate::state::choose_group;
-use crate::state::prefill_price;
 use crate::state::prompt_value;
 
 /// The slack added to twice the expected delay of the first event, after which the request is
@@ -113,32 +110,22 @@
         if (now + MIN_SERVICE_TIME) >= request.deadline {
             return self.refuse(request, self.timeout_refusal(request));
         }
-        let servers: Vec<Server> =
-            self.usable_servers(&request.service).into_iter().cloned().collect();
-        if servers.is_empty() {
-            let refusal = GatewayRefusal::retry_after(RefusalReason::NoServer, MIN_RETRY_AFTER * 2);
-            return self.refuse(request, lost_if_may_have_run(request, refusal));
-        }
-        let open: Vec<Server> =
-            servers.into_iter().filter(|one| !self.is_paused(now, &one.id)).collect();
-        if open.is_empty() {
-            let refusal = self.pause_refusal(now, request);
-            return self.refuse(request, lost_if_may_have_run(request, refusal));
-        }
-        let untried: Vec<Server> =
-            open.iter().filter(|one| !request.tried.contains(&one.id)).cloned().collect();
-        let candidates = if untried.is_empty() { open } else { untried };
-        let usable: Vec<Server> =
-            candidates.iter().filter(|one| !self.is_avoided(one, now)).cloned().collect();
-        let usable = if usable.is_empty() { candidates } else { usable };
-        let profile = self.catalog.as_ref().and_then(|catalog| {
-            catalog.service(&request.service).and_then(|service| service.engine)
-        });
-        match (profile, request.size) {
-            (Some(profile), Some(size)) => {
-                self.place_at_engines(now, request, &profile, size, &usable)
+        let seed = self.random.random();
+        let (choice, inputs) = self.choose(now, request, seed);
+        request.inputs = inputs;
+        match choice {
+            ServerChoice::NoServer => {
+                let refusal =
+                    GatewayRefusal::retry_after(RefusalReason::NoServer, MIN_RETRY_AFTER * 2);
+                self.refuse(request, lost_if_may_have_run(request, refusal))
             }
-            _ => self.place_at_server(now, request, usable),
+            ServerChoice::AllPaused => {
+                let refusal = self.pause_refusal(now, request);
+                self.refuse(request, lost_if_may_have_run(request, refusal))
+            }
+            ServerChoice::Engines(choice) => self.place_at_engines(now, request, *choice),
+            ServerChoice::Plain(Some(server)) => self.place_at_server(now, request, server),
+            ServerChoice::Plain(None) => self.wait_for_slot(now, request),
         }
     }
 
@@ -192,79 +179,45 @@
         &mut self,
         now: Moment,
         request: &mut GatewayRequest,
-        profile: &EngineProfile,
-        size: PromptSize,
-        servers: &[Server],
+        choice: EngineChoice,
     ) -> GatewayPlacement {
-        let prefill = profile.prefill_time(size.prompt);
-        let value = prompt_value(size.prompt);
-        let ahead = self.queue.prefill_ahead(now, request.queue_ticket, value, prefill);
-        let candidates = self.group_candidates(now, servers, profile.slots);
-        let backlog: Duration = candidates.iter().map(|candidate| candidate.load.backlog).sum();
-        let mean_backlog = (backlog + ahead).as_secs_f64() / candidates.len().max(1) as f64;
-        let query = GroupQuery {
-            size,
-            gap_class: request.gap_class(),
-            objective_left: request.objective_left(now),
-            abandon_after: request.abandon_at.since(now),
-            price: prefill_price(self.load_factor(now, candidates.len()), mean_backlog),
-            jitter_seed: self.random.random(),
-        };
-        let outcome = choose_group(profile, &query, &candidates);
-        let queued = ahead + self.peers.queued(now);
-        let queue_time = queued / candidates.len().max(1) as u32;
+        let EngineChoice { profile, size, query, value, prefill, is_behind, queue_time, outcome } =
+            choice;
         let is_deferrable = query.gap_class != GapClass::Tight;
         match outcome {
-            ChoiceOutcome::Send(choice) if !is_deferrable || ahead.is_zero() => {
+            EngineOutcome::Send(group) if !is_deferrable || !is_behind => {
                 self.leave_queue(request);
-                self.send_to_group(now, request, profile, size, servers, &choice)
+                self.send_to_group(now, request, &profile, size, group)
             }
-            ChoiceOutcome::Send(_) => {
+            EngineOutcome::Send(_) => {
                 self.wait(now, request, value, prefill, MIN_POLL_INTERVAL, queue_time)
             }
-            ChoiceOutcome::Wait(time) => self.wait(now, request, value, prefill, time, queue_time),
-            ChoiceOutcome::TooLate(time) => {
+            EngineOutcome::Wait(time) => self.wait(now, request, value, prefill, time, queue_time),
+            EngineOutcome::TooLate(time) => {
                 let retry_after = (time + queue_time).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
                 let refusal = GatewayRefusal::retry_after(RefusalReason::Overload, retry_after);
                 self.refuse(request, lost_if_may_have_run(request, refusal))
             }
-            ChoiceOutcome::TooCostly => {
+            EngineOutcome::TooCostly => {
                 let refusal =
                     GatewayRefusal::retry_after(RefusalReason::TooCostly, COSTLY_RETRY_AFTER);
                 self.refuse(request, lost_if_may_have_run(request, refusal))
             }
-            ChoiceOutcome::TooLarge if self.fits_with_paused(now, request, profile, &query) => {
+            EngineOutcome::TooLarge if self.fits_with_paused(now, request, &profile, &query) => {
                 let refusal = self.pause_refusal(now, request);
                 self.refuse(request, lost_if_may_have_run(request, refusal))
             }
-            ChoiceOutcome::TooLarge => {
+            EngineOutcome::TooLarge => {
                 let refusal = GatewayRefusal::new(RefusalReason::PromptTooLarge);
                 self.refuse(request, refusal)
             }
-            ChoiceOutcome::NoEngine => {
+            EngineOutcome::NoEngine => {
                 let refusal = GatewayRefusal::retry_after(RefusalReason::NoServer, MIN_RETRY_AFTER);
                 self.refuse(request, lost_if_may_have_run(request, refusal))
             }
         }
     }
 
-    fn group_candidates(&self, now: Moment, servers: &[Server], slots: u32) -> Vec<GroupCandidate> {
-        let mut zones: Vec<&ZoneName> = servers.iter().map(|server| &server.zone).collect();
-        zones.sort_unstable();
-        zones.dedup();
-        let candidate = |server: &Server| {
-            let mut load = self.loads.load(&server.id, now);
-            load.running[GapClass::Wide as usize] += self.withheld_slots(now, server, slots);
-            GroupCandidate {
-                load,
-                degraded: self.is_degraded(&server.id, now),
-                zone: zones.binary_search(&&server.zone).unwrap_or(0),
-                same_zone: server.zone == self.bounds.zone,
-            }
-        };
-        servers.iter().map(candidate).collect()
-    }
-
     /// Queues `request`, or refuses it if its caller would leave before its turn.
     fn wait(
         &mut self,
@@ -297,23 +250,22 @@
         request: &mut GatewayRequest,
         profile: &EngineProfile,
         size: PromptSize,
-        servers: &[Server],
-        choice: &GroupChoice,
+        group: ChosenGroup,
     ) -> GatewayPlacement {
-        let first = servers[choice.first].clone();
-        let part = profile.prefill_time(size.prompt) / (choice.helpers.len() as u32 + 1);
+        let part = profile.prefill_time(size.prompt) / (group.helpers.len() as u32 + 1);
         self.demand.count(now, profile.prefill_time(size.prompt));
         let send = self.new_send();
-        let helpers: Vec<Helper> = choice
+        let held: u64 = group.helpers.iter().map(|(_, held)| held).sum();
+        let helpers: Vec<Helper> = group
             .helpers
-            .iter()
-            .map(|helper| Helper {
-                server: servers[helper.position].clone(),
-                ticket: (helper.held_tokens > 0)
-                    .then(|| self.new_ticket(send, helper.position, helper.held_tokens)),
+            .into_iter()
+            .enumerate()
+            .map(|(position, (server, held))| {
+                let ticket = (held > 0).then(|| self.new_ticket(send, position, held));
+                Helper { server, ticket }
             })
             .collect();
-        let held: u64 = choice.helpers.iter().map(|helper| helper.held_tokens).sum();
+        let first = group.first;
         let tokens = size.prompt + size.max_output.min(profile.mean_output * 3);
         let work = ServerWork {
             prefill: part,
@@ -329,7 +281,7 @@
             let work = ServerWork { prefill: part, tokens, response: None };
             self.loads.add_work(&helper.server.id, send, work, now);
         }
-        let expected = choice.first_event;
+        let expected = group.first_event;
         let urgency = match request.gap_class() {
             GapClass::Tight => TIGHT_URGENCY,
             GapClass::Loose | GapClass::Wide => LOOSE_URGENCY,
@@ -345,36 +297,12 @@
         self.dispatch(now, request, send, first, helpers, expected, limit, Some(urgency))
     }
 
-    /// Sends `request` to the server with the fewest requests per slot.
     fn place_at_server(
         &mut self,
         now: Moment,
         request: &mut GatewayRequest,
-        servers: Vec<Server>,
+        server: Server,
     ) -> GatewayPlacement {
-        let zone = self.bounds.zone.clone();
-        let is_limited = self.has_withheld_slots(now, &request.service);
-        let mut scored: Vec<(f64, Server)> = Vec::new();
-        for server in servers {
-            let slots = server.slots.max(1);
-            let running = self.loads.load(&server.id, now).running_total()
-                + self.withheld_slots(now, &server, slots);
-            if is_limited && running >= slots {
-                continue;
-            }
-            let mut score = f64::from(running) / f64::from(slots);
-            if self.is_degraded(&server.id, now) {
-                score += 2.0;
-            }
-            if server.zone != zone {
-                score += 0.05;
-            }
-            scored.push((score + self.random.random_range(0.0..0.02), server));
-        }
-        scored.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let Some((_, server)) = scored.into_iter().next() else {
-            return self.wait_for_slot(now, request);
-        };
         self.leave_queue(request);
         let send = self.new_send();
         let response = RunningResponse { gap_class: request.gap_class(), value: prompt_value(0) };
--- a/lib/src/coordination/gateway/request.rs
+++ b/lib/src/coordination/gateway/request.rs
@@ -7,6 +7,7 @@
 
 use super::Gateway;
 use super::GatewayRefusal;
+use super::PlacementInputs;
 use super::RefusalReason;
 use crate::state::CustomerName;
 use crate::state::GapClass;
@@ -69,6 +70,8 @@
     pub unresolved_sends: u32,
     /// Its ticket in the queue of this host, while it waits.
     pub queue_ticket: Option<u64>,
+    /// The inputs of its last placement decision.
+    pub inputs: PlacementInputs,
 }
 
 impl GatewayRequest {
@@ -143,6 +146,7 @@
             unsent_attempts: 0,
             unresolved_sends: 0,
             queue_ticket: None,
+            inputs: PlacementInputs::default(),
         })
     }
 
--- a/lib/src/coordination/gateway/servers.rs
+++ b/lib/src/coordination/gateway/servers.rs
@@ -46,7 +46,7 @@
     pub fn apply(&mut self, change: ServerChange) -> bool {
         match change {
             ServerChange::Listed(server) => {
-                let id = server.id.id.to_string();
+                let id = server.id.id().to_owned();
                 self.missing.remove(&id);
                 self.departed.retain(|departed| *departed != server.id);
                 let before = self.servers.insert(id, server.clone());
@@ -82,7 +82,7 @@
     /// use wasabicrank_lib::coordination::{ListedServer, ServerChange, ServerList};
     /// use wasabicrank_lib::state::{Server, ServerId, ServiceName, ZoneName};
     /// let server = Server {
-    ///     id: ServerId { id: "i-1".into(), born: 1 },
+    ///     id: ServerId::new("i-1", 1),
     ///     service: ServiceName::new("app"),
     ///     address: ([10, 9, 0, 1], 80).into(),
     ///     zone: ZoneName::new("zone-a"),
@@ -105,7 +105,7 @@
             if self.departed.contains(&server.id) {
                 return None;
             }
-            let known = self.servers.get(&*server.id.id);
+            let known = self.servers.get(server.id.id());
             Some(
                 known
                     .filter(|known| known.id == server.id && known.draining)
@@ -120,8 +120,8 @@
     /// `grace`, since entries that expired meanwhile are listed again.
     pub fn replace(&mut self, listed: Vec<Server>, grace: Option<Duration>, now: Moment) {
         let mut servers: BTreeMap<String, Server> =
-            listed.into_iter().map(|server| (server.id.id.to_string(), server)).collect();
-        self.departed.retain(|id| servers.get(&*id.id).is_none_or(|server| server.id != *id));
+            listed.into_iter().map(|server| (server.id.id().to_owned(), server)).collect();
+        self.departed.retain(|id| servers.get(id.id()).is_none_or(|server| server.id != *id));
         self.missing.retain(|id, _| !servers.contains_key(id));
         for (id, server) in std::mem::take(&mut self.servers) {
             if let Some(listed) = servers.get(&id) {
@@ -184,7 +184,7 @@
 
     /// Returns whether this start of the server is listed.
     pub fn contains(&self, id: &ServerId) -> bool {
-        self.servers.get(&*id.id).is_some_and(|server| server.id == *id)
+        self.servers.get(id.id()).is_some_and(|server| server.id == *id)
     }
 
     /// Returns the number of servers.
--- a/lib/src/state/gateway/group_choice.rs
+++ b/lib/src/state/gateway/group_choice.rs
@@ -136,6 +136,15 @@
     pub first_event: Duration,
 }
 
+/// A request that is worth less than its prefill costs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CostlyRequest {
+    /// Its value if its first event comes as expected.
+    pub value: f64,
+    /// The expected time from now to the first event.
+    pub first_event: Duration,
+}
+
 /// The result of a choice.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ChoiceOutcome {
@@ -148,7 +157,7 @@
     /// The request is larger than the memory of all engines that could hold it jointly.
     TooLarge,
     /// Its value per second of prefill is below the price.
-    TooCostly,
+    TooCostly(CostlyRequest),
     /// There is no candidate.
     NoEngine,
 }
@@ -197,6 +206,42 @@
     random.random()
 }
 
+/// Returns the cost of a candidate that does not depend on the length of the prefill.
+fn fixed_cost(
+    query: &GroupQuery,
+    candidates: &[GroupCandidate],
+    position: usize,
+    in_pool: bool,
+) -> f64 {
+    let candidate = &candidates[position];
+    let load = &candidate.load;
+    let mut cost = 0.0;
+    if candidate.degraded {
+        cost += DEGRADED_COST;
+    }
+    match query.gap_class {
+        GapClass::Tight => {
+            if !in_pool {
+                cost += OUTSIDE_POOL_COST + ORDER_COST * position as f64;
+            }
+            if !candidate.same_zone {
+                cost += CROSS_ZONE_COST;
+            }
+            cost += load.backlog.as_secs_f64();
+            cost += PACKING_COST * position as f64;
+            cost += JITTER_COST * jitter(query.jitter_seed, position);
+        }
+        GapClass::Loose | GapClass::Wide => {
+            let from_end = candidates.len() - 1 - position;
+            cost += ORDER_COST * from_end as f64;
+            if load.running[GapClass::Tight as usize] > 0 {
+                cost += POOL_COST;
+            }
+        }
+    }
+    cost
+}
+
 /// Chooses engines for `query` among `candidates`, which share `profile`.
 pub fn choose_group(
     profile: &EngineProfile,
@@ -214,8 +259,10 @@
         return ChoiceOutcome::TooLarge;
     }
     let pool = tight_pool(profile.slots, candidates);
-    let choice = Chooser { profile, query, candidates, capacity, needed, pool: &pool };
-    choice.best()
+    let fixed_cost = |(position, in_pool)| fixed_cost(query, candidates, position, in_pool);
+    let fixed_costs: Vec<f64> = pool.into_iter().enumerate().map(fixed_cost).collect();
+    let chooser = Chooser { profile, query, candidates, capacity, needed, fixed_costs };
+    chooser.best()
 }
 
 struct Chooser<'a> {
@@ -224,20 +271,21 @@
     candidates: &'a [GroupCandidate],
     capacity: u64,
     needed: u64,
-    /// Whether each engine is in the pool of short requests.
-    pool: &'a [bool],
+    /// The cost of each engine that does not depend on the group.
+    fixed_costs: Vec<f64>,
 }
 
 impl Chooser<'_> {
     fn best(&self) -> ChoiceOutcome {
         let full_prefill = self.profile.prefill_time(self.query.size.prompt);
         let mut best: Option<(f64, GroupChoice)> = None;
+        let mut order = Vec::with_capacity(self.candidates.len());
         let parts = full_prefill.as_secs_f64() / MIN_PREFILL_PART.as_secs_f64();
         let most =
             if self.profile.joint_prefill { (parts as usize).clamp(1, MAX_GROUP) } else { 1 };
         for count in 1..=most.min(self.candidates.len()) {
             let part = full_prefill / count as u32;
-            let Some((cost, choice)) = self.group(count, part) else { continue };
+            let Some((cost, choice)) = self.group(count, part, &mut order) else { continue };
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, choice));
             }
@@ -246,7 +294,10 @@
         let value =
             prompt_value(self.query.size.prompt) * (1.0 - self.lateness_loss(choice.first_event));
         if value < self.query.price * full_prefill.as_secs_f64() {
-            return ChoiceOutcome::TooCostly;
+            return ChoiceOutcome::TooCostly(CostlyRequest {
+                value,
+                first_event: choice.first_event,
+            });
         }
         let backlog = self.candidates[choice.first].load.backlog;
         if choice.first_event > self.query.abandon_after {
@@ -263,17 +314,20 @@
         ChoiceOutcome::Wait(shortest.unwrap_or_default())
     }
 
-    /// Returns the cheapest group of `count` engines that prefill for `part` each, with its cost.
-    fn group(&self, count: usize, part: Duration) -> Option<(f64, GroupChoice)> {
-        let mut order: Vec<(f64, usize)> = (0..self.candidates.len())
-            .map(|position| {
-                let backlog = self.candidates[position].load.backlog.as_secs_f64();
-                (self.engine_cost(position, part, count > 1) + backlog, position)
-            })
-            .collect();
-        order.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let (first, mut others) = self.pick_first(&order, count)?;
-        others.truncate(count - 1);
+    /// Returns the cheapest group of `count` engines that prefill for `part` each, with its cost. The
+    /// buffer `order` holds the engines by cost.
+    fn group(
+        &self,
+        count: usize,
+        part: Duration,
+        order: &mut Vec<(f64, usize)>,
+    ) -> Option<(f64, GroupChoice)> {
+        order.clear();
+        order.extend((0..self.candidates.len()).map(|position| {
+            let backlog = self.candidates[position].load.backlog.as_secs_f64();
+            (self.engine_cost(position, part, count > 1) + backlog, position)
+        }));
+        let (first, others) = self.pick_members(order, count)?;
         let helpers = self.divide_memory(first, &others)?;
         let members = || others.iter().copied().chain([first]);
         let backlog = members().map(|position| self.candidates[position].load.backlog).max()?;
@@ -289,22 +343,31 @@
         Some((cost, GroupChoice { first, helpers, first_event }))
     }
 
-    /// Picks the engine that produces the response, and returns the others by cost: the cheapest
-    /// one that can hold the whole prompt or, in a group of which no member can hold it alone, the
-    /// one with the most free memory.
-    fn pick_first(&self, order: &[(f64, usize)], count: usize) -> Option<(usize, Vec<usize>)> {
-        let has_slot = |position: &usize| self.has_slot(*position);
-        let positions: Vec<usize> = order.iter().map(|(_, position)| *position).collect();
-        let members = if count == 1 { &positions[..] } else { &positions[..count] };
-        let alone =
-            members.iter().copied().find(|at| has_slot(at) && self.free_tokens(*at) >= self.needed);
-        let most_free = || {
-            let open = members.iter().copied().filter(|at| count > 1 && has_slot(at));
-            open.max_by_key(|at| self.free_tokens(*at))
-        };
+    /// Picks the engine that produces the response, and the others by cost: of the `count` cheapest
+    /// engines, the cheapest one that can hold the whole prompt or, if none of them can, the one with
+    /// the most free memory. A single engine is the cheapest of all that can hold the prompt.
+    fn pick_members(
+        &self,
+        order: &mut [(f64, usize)],
+        count: usize,
+    ) -> Option<(usize, Vec<usize>)> {
+        let by_cost = |a: &(f64, usize), b: &(f64, usize)| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1));
+        let holds_all = |at: usize| self.has_slot(at) && self.free_tokens(at) >= self.needed;
+        if count == 1 {
+            let able = order.iter().filter(|(_, at)| holds_all(*at));
+            return able.min_by(|a, b| by_cost(a, b)).map(|(_, at)| (*at, Vec::new()));
+        }
+        if count < order.len() {
+            order.select_nth_unstable_by(count - 1, by_cost);
+        }
+        let cheapest = &mut order[..count];
+        cheapest.sort_unstable_by(by_cost);
+        let members = || cheapest.iter().map(|(_, at)| *at);
+        let alone = members().find(|at| holds_all(*at));
+        let most_free =
+            || members().filter(|at| self.has_slot(*at)).max_by_key(|at| self.free_tokens(*at));
         let first = alone.or_else(most_free)?;
-        let others = positions.into_iter().filter(|at| *at != first).collect();
-        Some((first, others))
+        Some((first, members().filter(|at| *at != first).collect()))
     }
 
     /// Divides what the first engine cannot hold among the helpers with the most free memory.
@@ -331,38 +394,17 @@
     /// Returns the cost of prefilling for `part` at a candidate: mainly the penalty for the
     /// responses that run there.
     fn engine_cost(&self, position: usize, part: Duration, is_group: bool) -> f64 {
-        let candidate = &self.candidates[position];
-        let load = &candidate.load;
-        let mut cost = 0.0;
-        if candidate.degraded {
-            cost += DEGRADED_COST;
+        let load = &self.candidates[position].load;
+        let mut cost = self.fixed_costs[position];
+        if is_group && self.query.gap_class != GapClass::Tight {
+            cost += MEMBER_COST;
         }
         for gap_class in GapClass::ALL {
-            let penalty = prefill_penalty(gap_class, load.backlog + part)
-                - prefill_penalty(gap_class, load.backlog);
-            cost += load.running_value(gap_class) * penalty;
-        }
-        match self.query.gap_class {
-            GapClass::Tight => {
-                if !self.pool[position] {
-                    cost += OUTSIDE_POOL_COST + ORDER_COST * position as f64;
-                }
-                if !candidate.same_zone {
-                    cost += CROSS_ZONE_COST;
-                }
-                cost += load.backlog.as_secs_f64();
-                cost += PACKING_COST * position as f64;
-                cost += JITTER_COST * jitter(self.query.jitter_seed, position);
-            }
-            GapClass::Loose | GapClass::Wide => {
-                let from_end = self.candidates.len() - 1 - position;
-                cost += ORDER_COST * from_end as f64;
-                if load.running[GapClass::Tight as usize] > 0 {
-                    cost += POOL_COST;
-                }
-                if is_group {
-                    cost += MEMBER_COST;
-                }
+            let value = load.running_value(gap_class);
+            if value > 0.0 {
+                cost += value
+                    * (prefill_penalty(gap_class, load.backlog + part)
+                        - prefill_penalty(gap_class, load.backlog));
             }
         }
         cost
--- a/lib/src/state/gateway/load_table.rs
+++ b/lib/src/state/gateway/load_table.rs
@@ -134,7 +134,6 @@
 
 #[derive(Debug, Default)]
 struct LocalLoad {
-    digest: u32,
     prefill_until: Moment,
     sends: Vec<LocalWork>,
 }
@@ -157,17 +156,29 @@
     }
 }
 
+/// The load that one peer causes at one server.
 #[derive(Debug)]
-struct PeerLoads {
+struct PeerLoad {
+    peer: u64,
     received: Moment,
-    loads: HashMap<u32, ServerLoad>,
+    load: ServerLoad,
+}
+
+/// The last summary of one peer.
+#[derive(Debug)]
+struct PeerSummaryEntry {
+    received: Moment,
+    /// The digests of the servers that it lists.
+    servers: Vec<u32>,
 }
 
 /// The load of all servers, from this host's sends and the summaries of its peers.
 #[derive(Debug, Default)]
 pub struct LoadTable {
     local: HashMap<ServerId, LocalLoad>,
-    peers: HashMap<u64, PeerLoads>,
+    /// The loads by peers, by server digest.
+    peer_loads: HashMap<u32, Vec<PeerLoad>>,
+    peers: HashMap<u64, PeerSummaryEntry>,
 }
 
 impl LoadTable {
@@ -175,29 +186,26 @@
     pub fn load(&self, server: &ServerId, now: Moment) -> ServerLoad {
         let own = self.local.get(server);
         let mut load = own.map(|own| own.load(now)).unwrap_or_default();
-        if self.peers.is_empty() {
-            return load;
-        }
-        let digest = own.map_or_else(|| server.digest(), |own| own.digest);
-        for summary in self.peers.values() {
-            let age = now.since(summary.received);
-            if age > SUMMARY_TTL {
-                continue;
-            }
-            if let Some(peer) = summary.loads.get(&digest) {
-                load.add(&ServerLoad { backlog: peer.backlog.saturating_sub(age), ..*peer });
+        for peer in self.peer_loads.get(&server.digest()).into_iter().flatten() {
+            let age = now.since(peer.received);
+            if age <= SUMMARY_TTL {
+                let backlog = peer.load.backlog.saturating_sub(age);
+                load.add(&ServerLoad { backlog, ..peer.load });
             }
         }
         load
     }
 
+    /// Returns the age of the oldest summary of a peer that is used.
+    pub fn oldest_summary(&self, now: Moment) -> Duration {
+        let ages = self.peers.values().map(|summary| now.since(summary.received));
+        ages.filter(|age| *age <= SUMMARY_TTL).max().unwrap_or_default()
+    }
+
     /// Adds a send's work at `server`.
     pub fn add_work(&mut self, server: &ServerId, send: SendId, work: ServerWork, now: Moment) {
         let backlog = self.load(server, now).backlog;
-        let own = self
-            .local
-            .entry(server.clone())
-            .or_insert_with(|| LocalLoad { digest: server.digest(), ..LocalLoad::default() });
+        let own = self.local.entry(server.clone()).or_default();
         let in_prefill = !work.prefill.is_zero();
         if in_prefill {
             own.prefill_until = now + backlog + work.prefill;
@@ -226,7 +234,7 @@
 
     /// Returns the load that this host causes at each server, by server digest, for its peers.
     pub fn summary(&self, now: Moment) -> Vec<(u32, ServerLoad)> {
-        self.local.values().map(|own| (own.digest, own.load(now))).collect()
+        self.local.iter().map(|(server, own)| (server.digest(), own.load(now))).collect()
     }
 
     /// Replaces a peer's earlier summary.
@@ -236,9 +244,29 @@
         loads: impl IntoIterator<Item = (u32, ServerLoad)>,
         now: Moment,
     ) {
-        let loads = loads.into_iter().collect();
-        self.peers.insert(peer, PeerLoads { received: now, loads });
-        self.peers.retain(|_, summary| now.since(summary.received) <= SUMMARY_TTL);
+        let expired = |summary: &PeerSummaryEntry| now.since(summary.received) > SUMMARY_TTL;
+        let silent: Vec<u64> =
+            self.peers.iter().filter(|(_, one)| expired(one)).map(|(peer, _)| *peer).collect();
+        silent.into_iter().chain([peer]).for_each(|peer| self.remove_peer(peer));
+        let mut servers = Vec::new();
+        for (server, load) in loads {
+            servers.push(server);
+            let entries = self.peer_loads.entry(server).or_default();
+            entries.push(PeerLoad { peer, received: now, load });
+        }
+        self.peers.insert(peer, PeerSummaryEntry { received: now, servers });
+    }
+
+    fn remove_peer(&mut self, peer: u64) {
+        let Some(summary) = self.peers.remove(&peer) else { return };
+        for server in summary.servers {
+            if let Some(loads) = self.peer_loads.get_mut(&server) {
+                loads.retain(|load| load.peer != peer);
+                if loads.is_empty() {
+                    self.peer_loads.remove(&server);
+                }
+            }
+        }
     }
 }
 
--- a/lib/src/state/gateway/pause.rs
+++ b/lib/src/state/gateway/pause.rs
@@ -28,7 +28,7 @@
     /// ```
     /// use std::time::Duration;
     /// use wasabicrank_lib::state::{Moment, ServerId, ServerPauses};
-    /// let server = ServerId { id: "i-1".into(), born: 1 };
+    /// let server = ServerId::new("i-1", 1);
     /// let mut pauses = ServerPauses::default();
     /// pauses.record(&server, Moment(0), Duration::from_secs(2));
     /// pauses.record(&server, Moment(0), Duration::ZERO);
@@ -49,7 +49,7 @@
     ///
     /// ```
     /// use wasabicrank_lib::state::{Moment, ServerId, ServerPauses};
-    /// let server = ServerId { id: "i-1".into(), born: 1 };
+    /// let server = ServerId::new("i-1", 1);
     /// assert!(!ServerPauses::default().is_paused(&server, Moment(0)));
     /// ```
     pub fn is_paused(&self, server: &ServerId, now: Moment) -> bool {
@@ -61,11 +61,11 @@
     /// ```
     /// use std::time::Duration;
     /// use wasabicrank_lib::state::{Moment, ServerId, ServerPauses};
-    /// let server = ServerId { id: "i-1".into(), born: 1 };
+    /// let server = ServerId::new("i-1", 1);
     /// let mut pauses = ServerPauses::default();
     /// pauses.record(&server, Moment(0), Duration::from_secs(2));
     /// assert_eq!(pauses.left(&server, Moment(500_000)), Some(Duration::from_millis(1_500)));
-    /// let restarted = ServerId { born: 2, ..server };
+    /// let restarted = ServerId::new("i-1", 2);
     /// assert_eq!(pauses.left(&restarted, Moment(500_000)), None);
     /// ```
     pub fn left(&self, server: &ServerId, now: Moment) -> Option<Duration> {
@@ -78,7 +78,7 @@
     /// ```
     /// use std::time::Duration;
     /// use wasabicrank_lib::state::{Moment, ServerId, ServerPauses};
-    /// let server = ServerId { id: "i-1".into(), born: 1 };
+    /// let server = ServerId::new("i-1", 1);
     /// let mut pauses = ServerPauses::default();
     /// assert_eq!(pauses.withheld_slots(&server, 8, Moment(0)), 0);
     /// pauses.record(&server, Moment(0), Duration::from_secs(2));
--- a/lib/src/state/gateway/server.rs
+++ b/lib/src/state/gateway/server.rs
@@ -1,5 +1,7 @@
 //! A server of a service, as published in the list of live servers.
 
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -10,25 +12,48 @@
 ///
 /// A server that restarts under the same id is a different one, without the state of the previous
 /// one.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ServerId {
-    /// The published id.
-    pub id: Arc<str>,
-    /// The start time, in Unix milliseconds; 0 if it is not published.
-    pub born: u64,
+    id: Arc<str>,
+    born: u64,
+    digest: u32,
+}
+
+impl Hash for ServerId {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.digest.hash(state);
+    }
 }
 
 impl ServerId {
+    /// Creates the identity of the start at `born`, in Unix milliseconds (0 if it is not published), of
+    /// the server with the published id `id`.
+    pub fn new(id: impl Into<Arc<str>>, born: u64) -> ServerId {
+        let id = id.into();
+        let digest = short_digest(&[id.as_bytes(), &born.to_le_bytes()]);
+        ServerId { id, born, digest }
+    }
+
+    /// Returns the published id.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Returns the start time, in Unix milliseconds; 0 if it is not published.
+    pub fn born(&self) -> u64 {
+        self.born
+    }
+
     /// Returns the number that identifies this server in messages between entry hosts.
     ///
     /// ```
     /// use wasabicrank_lib::state::ServerId;
-    /// let first = ServerId { id: "i-1".into(), born: 1 };
-    /// let second = ServerId { id: "i-1".into(), born: 2 };
+    /// let first = ServerId::new("i-1", 1);
+    /// let second = ServerId::new("i-1", 2);
     /// assert_ne!(first.digest(), second.digest());
     /// ```
     pub fn digest(&self) -> u32 {
-        short_digest(&[self.id.as_bytes(), &self.born.to_le_bytes()])
+        self.digest
     }
 }
 
--- a/lib/src/transport/gateway/context.rs
+++ b/lib/src/transport/gateway/context.rs
@@ -65,8 +65,8 @@
         {
             return;
         }
-        info!(self.telemetry.log(), "server leaving"; "server" => &*server.id,
-            "born" => server.born);
+        info!(self.telemetry.log(), "server leaving"; "server" => server.id(),
+            "born" => server.born());
         // Queued requests are placed at the remaining servers or refused.
         self.capacity_freed.notify_waiters();
     }
--- a/lib/src/transport/gateway/exchange.rs
+++ b/lib/src/transport/gateway/exchange.rs
@@ -105,6 +105,7 @@
         request: RefCell::new(request),
         arrived,
         is_finished: Cell::new(false),
+        is_waiting: Cell::new(false),
         first_sent: Cell::new(None),
         silent_send: Cell::new(None),
         longest_pause: Cell::new(Duration::ZERO),
@@ -125,6 +126,8 @@
     pub(crate) request: RefCell<GatewayRequest>,
     pub(crate) arrived: Moment,
     pub(crate) is_finished: Cell<bool>,
+    /// Whether the request has begun to wait at this host.
+    is_waiting: Cell<bool>,
     pub(crate) first_sent: Cell<Option<Moment>>,
     /// The newest send whose server was recorded as silent.
     pub(crate) silent_send: Cell<Option<SendId>>,
@@ -242,6 +245,9 @@
                 }
                 GatewayPlacement::Refuse(refusal) => return Err(refusal),
                 GatewayPlacement::Wait(time) => {
+                    if !self.is_waiting.replace(true) {
+                        self.log_wait(time);
+                    }
                     tokio::select! {
                         () = sleep(time) => {}
                         () = capacity_freed => {}
--- a/lib/src/transport/gateway/exchange_log.rs
+++ b/lib/src/transport/gateway/exchange_log.rs
@@ -1,7 +1,12 @@
 //! Logs and metrics of requests.
 
+use std::time::Duration;
+
 use http::Response;
 use http::request;
+use slog::KV;
+use slog::Record;
+use slog::Serializer;
 use slog::info;
 
 use super::context::GatewayContext;
@@ -15,6 +20,7 @@
 use crate::coordination::Dispatch;
 use crate::coordination::GatewayRefusal;
 use crate::coordination::NextStep;
+use crate::coordination::PlacementInputs;
 use crate::coordination::RefusalReason;
 use crate::coordination::SendResult;
 use crate::state::Moment;
@@ -41,6 +47,68 @@
     refusal_response(ctx, &refusal)
 }
 
+/// The inputs of a placement decision as fields of a log line.
+struct InputFields(PlacementInputs);
+
+impl KV for InputFields {
+    fn serialize(&self, _: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        let inputs = &self.0;
+        let counts = [
+            ("servers", inputs.listed),
+            ("paused", inputs.paused),
+            ("tried", inputs.tried),
+            ("avoided", inputs.avoided),
+            ("full", inputs.full),
+        ];
+        for (name, count) in counts {
+            serializer.emit_usize(name, count)?;
+        }
+        let Some(prefill) = &inputs.prefill else { return Ok(()) };
+        let ratios = [
+            ("value", prefill.value),
+            ("price", prefill.price),
+            ("load_factor", prefill.load_factor),
+        ];
+        for (name, ratio) in ratios {
+            serializer.emit_f64(name, (ratio * 1_000.0).round() / 1_000.0)?;
+        }
+        let times = [
+            ("prefill_ms", prefill.time),
+            ("backlog_ms", prefill.backlog),
+            ("queue_ms", prefill.queue),
+            ("time_left_ms", prefill.time_left),
+            ("load_age_ms", prefill.load_age),
+        ];
+        for (name, time) in times {
+            serializer.emit_u64(name, time.as_millis() as u64)?;
+        }
+        let expected = prefill.first_event.map_or(-1, |time| time.as_millis() as i64);
+        serializer.emit_i64("expected_ms", expected)
+    }
+}
+
+/// Fields that only some log lines of a kind have.
+struct OptionalFields(Option<InputFields>);
+
+impl KV for OptionalFields {
+    fn serialize(&self, record: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        self.0.as_ref().map_or(Ok(()), |fields| fields.serialize(record, serializer))
+    }
+}
+
+/// Returns whether `reason` follows from the inputs of the last placement decision.
+fn is_placement_reason(reason: RefusalReason) -> bool {
+    matches!(
+        reason,
+        RefusalReason::NoServer
+            | RefusalReason::ServersPaused
+            | RefusalReason::PromptTooLarge
+            | RefusalReason::Overload
+            | RefusalReason::TooCostly
+            | RefusalReason::WaitedTooLong
+    )
+}
+
 impl Exchange {
     /// Logs and counts a send that did not yield the response; `step` is `None` if another server has
     /// the request.
@@ -70,13 +138,26 @@
         self.ctx.telemetry.count_send(name);
         if let Some(log) = self.ctx.telemetry.limited_log(now, LineKind::Failure) {
             info!(log, "send failed"; "request" => &request.id, "result" => name,
-                "server" => &*dispatch.server.id.id, "sends" => request.sends,
+                "server" => dispatch.server.id.id(), "sends" => request.sends,
                 "helpers" => dispatch.helpers.len(),
                 "next" => step.map_or("StaysElsewhere".to_owned(), |step| format!("{step:?}")),
                 "age_ms" => now.since(self.arrived).as_millis() as u64);
         }
     }
 
+    /// Logs that the request begins to wait at this host.
+    pub(crate) fn log_wait(&self, delay: Duration) {
+        let request = self.request.borrow();
+        let now = self.ctx.now();
+        let Some(log) = self.ctx.telemetry.limited_log(now, LineKind::Success) else { return };
+        info!(log, "request waits"; "request" => &request.id,
+            "service" => request.service.as_str(),
+            "prompt" => request.size.map_or(0, |size| size.prompt),
+            "delay_ms" => delay.as_millis() as u64,
+            "age_ms" => now.since(self.arrived).as_millis() as u64,
+            InputFields(request.inputs));
+    }
+
     pub(crate) fn log_send(&self, now: Moment, dispatch: &Dispatch) {
         let request = self.request.borrow();
         let waited = now.since(self.arrived);
@@ -88,7 +169,7 @@
         let gateway = self.ctx.gateway.borrow();
         let load = gateway.load(&dispatch.server.id, now);
         info!(log, "request sent"; "request" => &request.id,
-            "server" => &*dispatch.server.id.id, "waited_ms" => waited.as_millis() as u64,
+            "server" => dispatch.server.id.id(), "waited_ms" => waited.as_millis() as u64,
             "prompt" => request.size.map_or(0, |size| size.prompt),
             "helpers" => dispatch.helpers.len(),
             "expected_ms" => dispatch.expected_delay.as_millis() as u64,
@@ -102,7 +183,7 @@
         let now = self.ctx.now();
         if let Some(log) = self.ctx.telemetry.limited_log(now, LineKind::Failure) {
             info!(log, "server connection failed"; "request" => &request.id,
-                "server" => &*dispatch.server.id.id, "error" => %error);
+                "server" => dispatch.server.id.id(), "error" => %error);
         }
     }
 
@@ -123,7 +204,7 @@
         self.ctx.telemetry.count_server_fault(fault);
         if let Some(log) = self.ctx.telemetry.limited_log(now, LineKind::Failure) {
             info!(log, "server fault"; "request" => &request.id,
-                "server" => &*dispatch.server.id.id, "fault" => fault,
+                "server" => dispatch.server.id.id(), "fault" => fault,
                 "pause_ms" => now.since(last).as_millis() as u64,
                 "last_event" => request.last_event.unwrap_or(0),
                 "time_left_ms" => request.deadline.since(now).as_millis() as u64);
@@ -148,7 +229,7 @@
         self.ctx.telemetry.observe_first_event(request.size.map(|size| size.prompt), time);
         if let Some(log) = self.ctx.telemetry.limited_log(now, LineKind::Success) {
             info!(log, "first event"; "request" => &request.id,
-                "server" => &*dispatch.server.id.id, "age_ms" => time.as_millis() as u64,
+                "server" => dispatch.server.id.id(), "age_ms" => time.as_millis() as u64,
                 "expected_ms" => dispatch.expected_delay.as_millis() as u64);
         }
     }
@@ -170,6 +251,9 @@
             .telemetry
             .count_request(RequestLabel { kind: kind_name(request.route.kind), outcome });
         if let Some(log) = self.ctx.telemetry.limited_log(now, kind) {
+            let reason = refusal.map(|refusal| refusal.cause.unwrap_or(refusal.reason));
+            let has_inputs = reason.is_some_and(is_placement_reason);
+            let inputs = has_inputs.then(|| InputFields(request.inputs));
             info!(log, "request ended"; "request" => &request.id, "outcome" => outcome,
                 "status" => status, "route" => &*request.route.name,
                 "customer" => request.customer.as_ref().map_or("", |name| name.as_str()),
@@ -180,7 +264,7 @@
                 "cause" => cause.map_or("", RefusalReason::name),
                 "pause_ms" => self.longest_pause.get().as_millis() as u64,
                 "back_ms" => retry_after.map_or(-1, |after| after.as_millis() as i64),
-                "age_ms" => now.since(self.arrived).as_millis() as u64);
+                "age_ms" => now.since(self.arrived).as_millis() as u64, OptionalFields(inputs));
         }
     }
 }
--- a/lib/src/transport/gateway/memory_reservation.rs
+++ b/lib/src/transport/gateway/memory_reservation.rs
@@ -104,7 +104,7 @@
         send_order(server, ctx, ctx.dialect.reserve_order(server, ticket, MEMORY_HOLD)).await;
     let now = ctx.now();
     if let Some(log) = ctx.telemetry.limited_log(now, LineKind::Failure) {
-        info!(log, "memory ordered"; "server" => &*server.id.id, "ticket" => &ticket.name,
+        info!(log, "memory ordered"; "server" => server.id.id(), "ticket" => &ticket.name,
             "tokens" => ticket.tokens, "outcome" => ?outcome);
     }
     if outcome == Some(OrderOutcome::Done) {
@@ -150,7 +150,7 @@
         let line =
             if is_renewed { None } else { ctx.telemetry.limited_log(ctx.now(), LineKind::Failure) };
         if let Some(log) = line {
-            info!(log, "memory not renewed"; "server" => &*server.id.id, "ticket" => &ticket.name,
+            info!(log, "memory not renewed"; "server" => server.id.id(), "ticket" => &ticket.name,
                 "answer_expected" => is_due);
         }
         if !is_due {
@@ -190,7 +190,7 @@
         }
     }
     if let Some(log) = ctx.telemetry.limited_log(ctx.now(), LineKind::Failure) {
-        info!(log, "memory left to run out"; "server" => &*server.id.id,
+        info!(log, "memory left to run out"; "server" => server.id.id(),
             "ticket" => &ticket.name);
     }
 }
--- a/lib/src/transport/gateway/pauses.rs
+++ b/lib/src/transport/gateway/pauses.rs
@@ -19,12 +19,12 @@
                 self.gateway.borrow_mut().record_pause(now, server, length);
                 if let Some(log) = log {
                     let pause_ms = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
-                    info!(log, "server paused"; "server" => &*server.id, "pause_ms" => pause_ms);
+                    info!(log, "server paused"; "server" => server.id(), "pause_ms" => pause_ms);
                 }
             }
             PauseRequest::Invalid => {
                 if let Some(log) = log {
-                    info!(log, "invalid pause"; "server" => &*server.id);
+                    info!(log, "invalid pause"; "server" => server.id());
                 }
             }
         }
--- a/lib/tests/gateways/mod.rs
+++ b/lib/tests/gateways/mod.rs
@@ -72,7 +72,7 @@
 
 pub fn server(id: &str, service: &str, port: u16) -> Server {
     Server {
-        id: ServerId { id: id.into(), born: 1 },
+        id: ServerId::new(id, 1),
         service: ServiceName::new(service),
         address: ([10, 9, 0, 1], port).into(),
         zone: ZoneName::new("zone-a"),
--- a/lib/tests/test_gateway_choice.rs
+++ b/lib/tests/test_gateway_choice.rs
@@ -102,7 +102,7 @@
 const SENT: fn(&ChoiceOutcome) -> bool = |outcome| matches!(outcome, ChoiceOutcome::Send(_));
 const WAIT: fn(&ChoiceOutcome) -> bool = |outcome| matches!(outcome, ChoiceOutcome::Wait(_));
 const TOO_COSTLY: fn(&ChoiceOutcome) -> bool =
-    |outcome| matches!(outcome, ChoiceOutcome::TooCostly);
+    |outcome| matches!(outcome, ChoiceOutcome::TooCostly(_));
 const TOO_LATE: fn(&ChoiceOutcome) -> bool = |outcome| matches!(outcome, ChoiceOutcome::TooLate(_));
 const TOO_LARGE: fn(&ChoiceOutcome) -> bool = |outcome| matches!(outcome, ChoiceOutcome::TooLarge);
 const NO_ENGINE: fn(&ChoiceOutcome) -> bool = |outcome| matches!(outcome, ChoiceOutcome::NoEngine);
--- a/lib/tests/test_gateway_departures.rs
+++ b/lib/tests/test_gateway_departures.rs
@@ -20,7 +20,7 @@
 fn chosen(gateway: &mut Gateway, path: &str) -> Vec<String> {
     let mut ids: Vec<String> = (0..24)
         .filter_map(|_| match placement(gateway, path) {
-            GatewayPlacement::Send(dispatch) => Some(dispatch.server.id.id.to_string()),
+            GatewayPlacement::Send(dispatch) => Some(dispatch.server.id.id().to_owned()),
             _ => None,
         })
         .collect();
@@ -50,7 +50,7 @@
 
 fn restart(gateway: &mut Gateway) {
     let mut started = server("p-1", "plain", 3);
-    started.id.born = 2;
+    started.id = ServerId::new(started.id.id(), 2);
     gateway.apply_server(ServerChange::Listed(started));
 }
 
@@ -129,7 +129,7 @@
     let mut request = gateway.admit(at(0), &facts("/often/x")).unwrap();
     let GatewayPlacement::Send(dispatch) = gateway.place(at(0), &mut request) else { panic!() };
     gateway.record_sent(&mut request);
-    let other = if &*dispatch.server.id.id == "p-1" { "p-2" } else { "p-1" };
+    let other = if dispatch.server.id.id() == "p-1" { "p-2" } else { "p-1" };
     leave(&mut gateway, other);
     let placement = gateway.place_successor(at(400), &mut request);
     assert!(matches!(placement, GatewayPlacement::Refuse(_)), "{placement:?}");
@@ -166,7 +166,7 @@
 #[test]
 fn marks_of_servers_that_are_no_longer_listed_are_bounded() {
     let mut gateway = gateway(1);
-    let id = |number: u64| ServerId { id: "p-9".into(), born: number };
+    let id = |number: u64| ServerId::new("p-9", number);
     leave(&mut gateway, "p-1");
     for number in 0..3_000 {
         assert!(gateway.record_leaving(&id(number)));
--- a/lib/tests/test_gateway_eras.rs
+++ b/lib/tests/test_gateway_eras.rs
@@ -190,7 +190,7 @@
 }
 
 fn reborn() -> Server {
-    let id = ServerId { id: "p-1".into(), born: 2 };
+    let id = ServerId::new("p-1", 2);
     Server { id, ..server("p-1", "plain", 3) }
 }
 
--- a/lib/tests/test_gateway_pauses.rs
+++ b/lib/tests/test_gateway_pauses.rs
@@ -12,7 +12,7 @@
 const HOUR_MS: u64 = 3_600_000;
 
 fn id(name: &str) -> ServerId {
-    ServerId { id: name.into(), born: 1 }
+    ServerId::new(name, 1)
 }
 
 fn pause_all(gateway: &mut Gateway, now: Moment, length: Duration) {
@@ -79,7 +79,7 @@
     pause_all(&mut gateway, at(0), ms(5_000));
     gateway.apply_server(ServerChange::Removed("p-1".to_owned()));
     let listed = server("p-1", "plain", 3);
-    let listed = Server { id: ServerId { born: case.born, ..listed.id }, ..listed };
+    let listed = Server { id: ServerId::new(listed.id.id(), case.born), ..listed };
     gateway.apply_server(ServerChange::Listed(listed));
     let mut request = gateway.admit(at(100), &facts("/often/x")).unwrap();
     let placement = gateway.place(at(100), &mut request);
@@ -146,7 +146,7 @@
     let mut request = gateway.admit(at(0), &facts("/often/x")).unwrap();
     let dispatch = sent(gateway.place(at(0), &mut request));
     gateway.record_sent(&mut request);
-    let other = if *dispatch.server.id.id == *"p-1" { id("p-2") } else { id("p-1") };
+    let other = if dispatch.server.id.id() == "p-1" { id("p-2") } else { id("p-1") };
     gateway.record_pause(at(300), &other, ms(2_000));
     gateway.record_silence(at(400), &dispatch);
     let refusal = refused(gateway.place_successor(at(400), &mut request));
--- a/workload/src/gateway/fleet.rs
+++ b/workload/src/gateway/fleet.rs
@@ -41,7 +41,7 @@
 
 pub(crate) fn server(position: usize) -> Server {
     Server {
-        id: ServerId { id: format!("engine-{position:02}").into(), born: 1 },
+        id: ServerId::new(format!("engine-{position:02}"), 1),
         service: ServiceName::new("engines"),
         address: ([10, 9, 0, position as u8 + 1], 8_000).into(),
         zone: zone(position),
