gateway: cells that follow from addresses alone

Cause: with cells by rank among the known hosts, a host that did not know of one other counted itself to another cell than its peers did, and was without a cell until it learned of that host (cells_follow_the_loss_and_the_return_of_most_hosts). Also, each host sent its list of all hosts to each other one that started: 0.5 MB in and out at 300 hosts, much of the bytes between zones. Change: a host's cell follows from its address and the number of cells. Cells then differ in size, so each has a part of the servers in proportion to its hosts. A summary states how many hosts its sender knows, and only a host that knows less than half of them is sent the list. Builds without this field are understood and understand the rest. Tests: test_gateway_cells, builds_with_and_without_eras_understand_each_other (extended).

--- a/lib/src/coordination/gateway/cells.rs
+++ b/lib/src/coordination/gateway/cells.rs
@@ -6,7 +6,6 @@
 //! they know less of each other's load; nothing else depends on the division.
 
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
@@ -33,20 +32,22 @@
 }
 
 /// The division of the fleet as one host sees it.
+///
+/// The cell of a host follows from its address and the number of cells alone. Each cell has a part of the
+/// servers that is proportional to its hosts.
 #[derive(Debug)]
 pub struct Cells {
     /// The number of cells; a power of two, so that a division refines the coarser one.
     count: usize,
-    /// The cell of this host.
-    own: usize,
-    /// The other hosts of its cell; `None` if all hosts are one cell.
-    members: Option<HashSet<Ipv4Addr>>,
+    own_address: Ipv4Addr,
+    /// The number of hosts in all cells up to each one.
+    host_sums: Vec<usize>,
     reviewed: Option<Moment>,
 }
 
 impl Default for Cells {
     fn default() -> Cells {
-        Cells { count: 1, own: 0, members: None, reviewed: None }
+        Cells { count: 1, own_address: Ipv4Addr::UNSPECIFIED, host_sums: vec![1], reviewed: None }
     }
 }
 
@@ -58,7 +59,7 @@
 
     /// Returns whether `address` is a host of this cell.
     pub fn has_member(&self, address: &Ipv4Addr) -> bool {
-        self.members.as_ref().is_none_or(|members| members.contains(address))
+        self.count == 1 || cell_of(*address, self.count) == cell_of(self.own_address, self.count)
     }
 
     /// Works the division out again if it is due. `hosts` returns all other hosts.
@@ -77,20 +78,17 @@
             return;
         }
         self.reviewed = Some(now);
+        self.own_address = own;
         let mut hosts = hosts();
         hosts.push(CellHost { address: own, is_silent: false });
-        hosts.sort_unstable_by_key(|host| scatter(host.address));
-        hosts.dedup_by_key(|host| host.address);
-        let own_position = hosts.iter().position(|host| host.address == own).unwrap_or(0);
-        let count = cell_count(live_hosts(&hosts, own_position));
-        let is_member =
-            |position: usize| position * count / hosts.len() == own_position * count / hosts.len();
-        self.count = count;
-        self.own = own_position * count / hosts.len();
-        self.members = (count > 1).then(|| {
-            let members = hosts.iter().enumerate().filter(|(position, _)| is_member(*position));
-            members.map(|(_, host)| host.address).filter(|address| *address != own).collect()
-        });
+        self.count = cell_count(live_hosts(&hosts, own));
+        self.host_sums = vec![0; self.count];
+        for host in &hosts {
+            self.host_sums[cell_of(host.address, self.count)] += 1;
+        }
+        for cell in 1..self.count {
+            self.host_sums[cell] += self.host_sums[cell - 1];
+        }
     }
 
     /// Keeps the servers of this cell. All belong to one service, in an order that all hosts share.
@@ -99,17 +97,23 @@
         if count <= 1 {
             return;
         }
-        let own = self.own * count / self.count;
+        // Several cells of hosts share the servers of a small service.
+        let merged = self.count / count;
+        let own = cell_of(self.own_address, count);
+        let hosts = self.host_sums[self.count - 1];
+        let first = if own == 0 { 0 } else { self.host_sums[own * merged - 1] };
+        let last = self.host_sums[(own + 1) * merged - 1];
         let mut totals: HashMap<&ZoneName, usize> = HashMap::new();
         for server in servers.iter() {
             *totals.entry(&server.zone).or_default() += 1;
         }
         let mut positions: HashMap<&ZoneName, usize> = HashMap::new();
         servers.retain(|server| {
+            let total = totals[&server.zone];
             let position = positions.entry(&server.zone).or_default();
-            let cell = *position * count / totals[&server.zone];
+            let share = *position * hosts;
             *position += 1;
-            cell == own
+            (first * total..last * total).contains(&share)
         });
     }
 }
@@ -120,14 +124,11 @@
 
 /// Returns the number of live hosts among all `hosts`. Those of other cells are seldom heard, so their
 /// live fraction is taken to be that of the cell which a division of all hosts gives.
-fn live_hosts(hosts: &[CellHost], own_position: usize) -> usize {
+fn live_hosts(hosts: &[CellHost], own: Ipv4Addr) -> usize {
     let count = cell_count(hosts.len());
-    let cell = |position: usize| position * count / hosts.len();
-    let members = || {
-        let all = hosts.iter().enumerate();
-        all.filter(|(position, _)| cell(*position) == cell(own_position))
-    };
-    let live = members().filter(|(_, host)| !host.is_silent).count();
+    let own_cell = cell_of(own, count);
+    let members = || hosts.iter().filter(|host| cell_of(host.address, count) == own_cell);
+    let live = members().filter(|host| !host.is_silent).count();
     let live_fraction = live as f64 / members().count().max(1) as f64;
     if live_fraction >= MIN_LIVE_FRACTION {
         return hosts.len();
@@ -139,11 +140,16 @@
     number.checked_ilog2().map_or(0, |exponent| 1 << exponent)
 }
 
-/// Returns a number by which hosts are ordered, so that neighbours in a network are in different cells.
-fn scatter(address: Ipv4Addr) -> (u32, Ipv4Addr) {
-    const GOLDEN_RATIO: u32 = 0x9e37_79b1;
-    (
-        u32::from(address).wrapping_mul(GOLDEN_RATIO).rotate_left(16).wrapping_mul(GOLDEN_RATIO),
-        address,
-    )
+/// Returns the cell of a host among `count` cells.
+fn cell_of(address: Ipv4Addr, count: usize) -> usize {
+    ((u64::from(scatter(u32::from(address))) * count as u64) >> u32::BITS) as usize
+}
+
+/// Scatters numbers evenly, so that neighbours in a network are in different cells (the finalizer of
+/// MurmurHash3).
+fn scatter(number: u32) -> u32 {
+    let mut hash = number;
+    hash = (hash ^ (hash >> 16)).wrapping_mul(0x85eb_ca6b);
+    hash = (hash ^ (hash >> 13)).wrapping_mul(0xc2b2_ae35);
+    hash ^ (hash >> 16)
 }
--- a/lib/src/coordination/gateway/cluster_view.rs
+++ b/lib/src/coordination/gateway/cluster_view.rs
@@ -154,6 +154,7 @@
             servers_change: self.servers_change(),
             queued: self.queue.queued_prefill(),
             demand: self.demand.rate(now),
+            hosts: self.peers.known_count(now) as u32,
             known,
             loads: self.loads.summary(now),
         }
--- a/lib/src/coordination/gateway/peers.rs
+++ b/lib/src/coordination/gateway/peers.rs
@@ -26,8 +26,8 @@
 /// cell that was heard is mentioned to others.
 const OUTSIDER_PERIOD: Duration = Duration::from_secs(15);
 const MENTION_TTL: Duration = Duration::from_secs(20);
-/// The most hosts of other cells that one message mentions: to a host that was heard for the first time,
-/// and to others.
+/// The most hosts of other cells that one message mentions: to a host that knows few others, and to all
+/// others.
 const MAX_MENTIONS: usize = 400;
 const MENTION_SAMPLE: usize = 16;
 /// The most acknowledgements in one message. While a large fleet starts, a host may know more live hosts
@@ -92,6 +92,8 @@
     pub queued: Duration,
     /// The seconds of engine prefill that it starts per second.
     pub demand: f64,
+    /// The number of other entry hosts that it knows of; 0 if it does not state it.
+    pub hosts: u32,
     /// The entry hosts that it received messages from recently.
     pub known: Vec<HostAck>,
     /// The load that it causes at each server, by server digest.
@@ -140,7 +142,7 @@
     Member,
     /// A host of another cell, which needs no loads.
     Outsider,
-    /// A host that was heard for the first time, which is told of all others.
+    /// A host that knows few others, and is told of all of them.
     Newcomer,
 }
 
@@ -193,7 +195,7 @@
     learned: HashMap<Ipv4Addr, Moment>,
     peers: HashMap<Ipv4Addr, Peer>,
     cells: Cells,
-    /// The hosts that were heard for the first time since the last summary.
+    /// The hosts that have started and are to be told of the others.
     newcomers: Vec<Ipv4Addr>,
     /// Until when the share of summaries to other cells that is due has been sent.
     outsiders_sent: Option<Moment>,
@@ -315,7 +317,9 @@
             .map_or(now, |peer| peer.version_since);
         let is_member = self.cells.has_member(&received.from);
         let is_new = before.is_none_or(|peer| is_member && now.since(peer.last_heard) > PEER_TTL);
-        if before.is_none_or(|peer| peer.incarnation != summary.incarnation) {
+        let is_started = before.is_none_or(|peer| peer.incarnation != summary.incarnation);
+        // A host that knows most others needs no list of them.
+        if is_started && (summary.hosts as usize) < self.known_count(now) / 2 {
             self.newcomers.push(received.from);
         }
         if is_new {
--- a/lib/src/protocol/gateway/load_wire.rs
+++ b/lib/src/protocol/gateway/load_wire.rs
@@ -49,6 +49,13 @@
     era: u64,
 }
 
+/// What follows the suffix, by builds that divide large fleets into cells.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct WireFleet {
+    /// The number of hosts that the sender knows of.
+    hosts: u32,
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 struct WireAck {
     address: [u8; 4],
@@ -82,7 +89,8 @@
 /// Returns postcard's error, which encoding a [`PeerSummary`] does not cause.
 pub fn encode_summary(summary: &PeerSummary) -> Result<Vec<u8>, postcard::Error> {
     let suffix = WireSuffix { era: summary.servers_change.era.0 };
-    postcard::to_stdvec(&(WireSummary::from(summary), suffix))
+    let fleet = WireFleet { hosts: summary.hosts };
+    postcard::to_stdvec(&(WireSummary::from(summary), suffix, fleet))
 }
 
 /// Decodes a datagram.
@@ -99,12 +107,17 @@
     }
     let malformed = |_| DatagramError::Malformed;
     let (wire, rest): (WireSummary, _) = postcard::take_from_bytes(datagram).map_err(malformed)?;
-    let suffix: WireSuffix = match rest {
-        [] => WireSuffix::default(),
+    let (suffix, rest): (WireSuffix, &[u8]) = match rest {
+        [] => Default::default(),
+        rest => postcard::take_from_bytes(rest).map_err(malformed)?,
+    };
+    let fleet: WireFleet = match rest {
+        [] => WireFleet::default(),
         rest => postcard::from_bytes(rest).map_err(malformed)?,
     };
     let mut summary = PeerSummary::from(wire);
     summary.servers_change.era = SourceEra(suffix.era);
+    summary.hosts = fleet.hosts;
     Ok(summary)
 }
 
@@ -174,6 +187,7 @@
             servers_change: SourcePoint { revision: wire.servers_change, ..SourcePoint::default() },
             queued: Duration::from_millis(wire.queued_ms.into()),
             demand: f64::from(wire.demand),
+            hosts: 0,
             known: known.collect(),
             loads: loads.collect(),
         }
