gateway: cheaper choice of groups

Change: the penalty of the backlog alone is computed once for each engine, the cheapest engines are kept in a short sorted list in place of a selection over all, and load tables use a fast hash (rustc-hash) of numbers that are digests already.

--- a/lib/src/state/gateway/group_choice.rs
+++ b/lib/src/state/gateway/group_choice.rs
@@ -191,11 +191,10 @@
 }
 
 /// Returns the fraction of its value that a running response is assumed to lose when its engine
-/// prefills for `prefill`: nearly nothing well below the limit, since prefills fall into different
+/// prefills for that many seconds: nearly nothing well below the limit, since prefills fall into different
 /// passes.
-fn prefill_penalty(gap_class: GapClass, prefill: Duration) -> f64 {
-    let limit = PREFILL_LIMITS[gap_class as usize];
-    let share = prefill.as_secs_f64() / limit.as_secs_f64();
+fn prefill_penalty(gap_class: GapClass, prefill_seconds: f64) -> f64 {
+    let share = prefill_seconds / PREFILL_LIMITS[gap_class as usize].as_secs_f64();
     PREFILL_PENALTIES[gap_class as usize]
         * share.min(1.0).powi(PREFILL_PENALTY_EXPONENTS[gap_class as usize])
 }
@@ -259,9 +258,9 @@
         return ChoiceOutcome::TooLarge;
     }
     let pool = tight_pool(profile.slots, candidates);
-    let fixed_cost = |(position, in_pool)| fixed_cost(query, candidates, position, in_pool);
-    let fixed_costs: Vec<f64> = pool.into_iter().enumerate().map(fixed_cost).collect();
-    let chooser = Chooser { profile, query, candidates, capacity, needed, fixed_costs };
+    let cost = |(position, in_pool)| EngineCost::new(query, candidates, position, in_pool);
+    let costs: Vec<EngineCost> = pool.into_iter().enumerate().map(cost).collect();
+    let chooser = Chooser { profile, query, candidates, capacity, needed, costs };
     chooser.best()
 }
 
@@ -271,21 +270,62 @@
     candidates: &'a [GroupCandidate],
     capacity: u64,
     needed: u64,
-    /// The cost of each engine that does not depend on the group.
-    fixed_costs: Vec<f64>,
+    costs: Vec<EngineCost>,
+}
+
+/// What the cost of prefilling at one engine is computed from.
+struct EngineCost {
+    /// The part that does not depend on the length of the prefill.
+    fixed: f64,
+    /// The prefill that the engine has left, in seconds.
+    backlog: f64,
+    /// The summed value of the responses that run there, by gap class.
+    values: [f64; GapClass::ALL.len()],
+}
+
+impl EngineCost {
+    fn new(
+        query: &GroupQuery,
+        candidates: &[GroupCandidate],
+        position: usize,
+        in_pool: bool,
+    ) -> EngineCost {
+        let load = &candidates[position].load;
+        let mut cost = EngineCost {
+            fixed: fixed_cost(query, candidates, position, in_pool),
+            backlog: load.backlog.as_secs_f64(),
+            values: load.response_value,
+        };
+        // Only the penalty beyond that of the backlog counts.
+        cost.fixed -= cost.penalty(0.0);
+        cost
+    }
+
+    /// Returns the loss of the running responses by a prefill of this many seconds and the backlog.
+    fn penalty(&self, part_seconds: f64) -> f64 {
+        let loss = |gap_class: GapClass| {
+            let value = self.values[gap_class as usize];
+            if value > 0.0 {
+                value * prefill_penalty(gap_class, self.backlog + part_seconds)
+            } else {
+                0.0
+            }
+        };
+        GapClass::ALL.into_iter().map(loss).sum()
+    }
 }
 
 impl Chooser<'_> {
     fn best(&self) -> ChoiceOutcome {
         let full_prefill = self.profile.prefill_time(self.query.size.prompt);
         let mut best: Option<(f64, GroupChoice)> = None;
-        let mut order = Vec::with_capacity(self.candidates.len());
+        let mut cheapest = Vec::with_capacity(MAX_GROUP + 1);
         let parts = full_prefill.as_secs_f64() / MIN_PREFILL_PART.as_secs_f64();
         let most =
             if self.profile.joint_prefill { (parts as usize).clamp(1, MAX_GROUP) } else { 1 };
         for count in 1..=most.min(self.candidates.len()) {
             let part = full_prefill / count as u32;
-            let Some((cost, choice)) = self.group(count, part, &mut order) else { continue };
+            let Some((cost, choice)) = self.group(count, part, &mut cheapest) else { continue };
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, choice));
             }
@@ -314,26 +354,25 @@
         ChoiceOutcome::Wait(shortest.unwrap_or_default())
     }
 
-    /// Returns the cheapest group of `count` engines that prefill for `part` each, with its cost. The
-    /// buffer `order` holds the engines by cost.
+    /// Returns the cheapest group of `count` engines that prefill for `part` each, with its cost;
+    /// `cheapest` is a buffer.
     fn group(
         &self,
         count: usize,
         part: Duration,
-        order: &mut Vec<(f64, usize)>,
+        cheapest: &mut Vec<(f64, usize)>,
     ) -> Option<(f64, GroupChoice)> {
-        order.clear();
-        order.extend((0..self.candidates.len()).map(|position| {
-            let backlog = self.candidates[position].load.backlog.as_secs_f64();
-            (self.engine_cost(position, part, count > 1) + backlog, position)
-        }));
-        let (first, others) = self.pick_members(order, count)?;
+        let is_group = count > 1;
+        let holds_all = |at: usize| self.has_slot(at) && self.free_tokens(at) >= self.needed;
+        let is_member = |at: usize| is_group || holds_all(at);
+        self.find_cheapest(cheapest, count, part, is_member);
+        let (first, others) = self.pick_first(cheapest, is_group)?;
         let helpers = self.divide_memory(first, &others)?;
         let members = || others.iter().copied().chain([first]);
         let backlog = members().map(|position| self.candidates[position].load.backlog).max()?;
         let first_event = backlog + part + self.current_pass(first) + FIRST_EVENT_OVERHEAD;
         let engine_costs: f64 =
-            members().map(|position| self.engine_cost(position, part, count > 1)).sum();
+            members().map(|position| self.engine_cost(position, part, is_group)).sum();
         let holders = helpers.iter().filter(|helper| helper.held_tokens > 0).count();
         let value = prompt_value(self.query.size.prompt);
         let cost = value * self.lateness_loss(first_event)
@@ -343,30 +382,40 @@
         Some((cost, GroupChoice { first, helpers, first_event }))
     }
 
-    /// Picks the engine that produces the response, and the others by cost: of the `count` cheapest
-    /// engines, the cheapest one that can hold the whole prompt or, if none of them can, the one with
-    /// the most free memory. A single engine is the cheapest of all that can hold the prompt.
-    fn pick_members(
+    /// Lists the `count` engines with the lowest cost and backlog among those for which `is_member`
+    /// holds, in order.
+    fn find_cheapest(
         &self,
-        order: &mut [(f64, usize)],
+        cheapest: &mut Vec<(f64, usize)>,
         count: usize,
-    ) -> Option<(usize, Vec<usize>)> {
-        let by_cost = |a: &(f64, usize), b: &(f64, usize)| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1));
-        let holds_all = |at: usize| self.has_slot(at) && self.free_tokens(at) >= self.needed;
-        if count == 1 {
-            let able = order.iter().filter(|(_, at)| holds_all(*at));
-            return able.min_by(|a, b| by_cost(a, b)).map(|(_, at)| (*at, Vec::new()));
-        }
-        if count < order.len() {
-            order.select_nth_unstable_by(count - 1, by_cost);
+        part: Duration,
+        is_member: impl Fn(usize) -> bool,
+    ) {
+        cheapest.clear();
+        for position in (0..self.costs.len()).filter(|at| is_member(*at)) {
+            let cost = self.engine_cost(position, part, count > 1) + self.costs[position].backlog;
+            let is_full = cheapest.len() == count;
+            if is_full && cheapest.last().is_some_and(|(most, _)| *most <= cost) {
+                continue;
+            }
+            if is_full {
+                cheapest.pop();
+            }
+            let rank = cheapest.partition_point(|(other, _)| *other <= cost);
+            cheapest.insert(rank, (cost, position));
         }
-        let cheapest = &mut order[..count];
-        cheapest.sort_unstable_by(by_cost);
+    }
+
+    /// Picks the engine of a group that produces the response, and returns the others: the cheapest
+    /// one that can hold the whole prompt or, if none can, the one with the most free memory.
+    fn pick_first(&self, cheapest: &[(f64, usize)], is_group: bool) -> Option<(usize, Vec<usize>)> {
         let members = || cheapest.iter().map(|(_, at)| *at);
-        let alone = members().find(|at| holds_all(*at));
-        let most_free =
-            || members().filter(|at| self.has_slot(*at)).max_by_key(|at| self.free_tokens(*at));
-        let first = alone.or_else(most_free)?;
+        if !is_group {
+            return members().next().map(|at| (at, Vec::new()));
+        }
+        let able = || members().filter(|at| self.has_slot(*at));
+        let alone = able().find(|at| self.free_tokens(*at) >= self.needed);
+        let first = alone.or_else(|| able().max_by_key(|at| self.free_tokens(*at)))?;
         Some((first, members().filter(|at| *at != first).collect()))
     }
 
@@ -394,20 +443,10 @@
     /// Returns the cost of prefilling for `part` at a candidate: mainly the penalty for the
     /// responses that run there.
     fn engine_cost(&self, position: usize, part: Duration, is_group: bool) -> f64 {
-        let load = &self.candidates[position].load;
-        let mut cost = self.fixed_costs[position];
-        if is_group && self.query.gap_class != GapClass::Tight {
-            cost += MEMBER_COST;
-        }
-        for gap_class in GapClass::ALL {
-            let value = load.running_value(gap_class);
-            if value > 0.0 {
-                cost += value
-                    * (prefill_penalty(gap_class, load.backlog + part)
-                        - prefill_penalty(gap_class, load.backlog));
-            }
-        }
-        cost
+        let engine = &self.costs[position];
+        let is_long_member = is_group && self.query.gap_class != GapClass::Tight;
+        let member_cost = if is_long_member { MEMBER_COST } else { 0.0 };
+        engine.fixed + member_cost + engine.penalty(part.as_secs_f64())
     }
 
     fn has_slot(&self, position: usize) -> bool {
--- a/lib/src/state/gateway/load_table.rs
+++ b/lib/src/state/gateway/load_table.rs
@@ -7,6 +7,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
+
 use crate::state::Moment;
 
 use super::ServerId;
@@ -175,9 +177,9 @@
 /// The load of all servers, from this host's sends and the summaries of its peers.
 #[derive(Debug, Default)]
 pub struct LoadTable {
-    local: HashMap<ServerId, LocalLoad>,
+    local: FxHashMap<ServerId, LocalLoad>,
     /// The loads by peers, by server digest.
-    peer_loads: HashMap<u32, Vec<PeerLoad>>,
+    peer_loads: FxHashMap<u32, Vec<PeerLoad>>,
     peers: HashMap<u64, PeerSummaryEntry>,
 }
 
