--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -22,10 +22,10 @@
 use crate::evidence::Kind;
 use crate::evidence::Outcome;
 use crate::evidence::Sent;
+use crate::responses::call_text;
+use crate::responses::event_count;
+use crate::responses::event_text;
 use crate::server::SIGNATURE;
-use crate::server::call_text;
-use crate::server::event_count;
-use crate::server::event_text;
 
 /// Time limit to establish a connection, and for a readiness check.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -14,6 +14,7 @@
 use wasabicrank_testutils::relay::Relay;
 use wasabicrank_testutils::server::lock;
 
+use crate::behavior::Behavior;
 use crate::evidence::Millis;
 use crate::evidence::Scope;
 use crate::fleet::Disturbance;
@@ -21,7 +22,6 @@
 use crate::schedule::Departure;
 use crate::schedule::Fault;
 use crate::schedule::LinkFault;
-use crate::server::Behavior;
 use crate::server::Server;
 use crate::store::Write;
 use crate::world::CUSTOMERS;
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! It starts and ends only its own processes, and sends only to addresses of the loopback range.
 
+mod behavior;
 mod caller;
 mod checks;
 mod evidence;
@@ -12,9 +13,11 @@
 mod fleet;
 mod http_server;
 mod pauses;
+mod responses;
 mod schedule;
 mod server;
 mod store;
+mod tickets;
 mod world;
 
 use std::io;
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -6,7 +6,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::server::Behavior;
+use crate::behavior::Behavior;
 
 /// A fault of a network link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/soak/src/server.rs
+++ b/soak/src/server.rs
@@ -18,7 +18,6 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use serde_json::Value;
 use serde_json::json;
@@ -27,9 +26,9 @@
 use wasabicrank_testutils::relay::Relay;
 use wasabicrank_testutils::server::lock;
 
+use crate::behavior::Behavior;
 use crate::evidence::Evidence;
 use crate::evidence::Kind;
-use crate::evidence::Millis;
 use crate::evidence::OrderSeen;
 use crate::evidence::Run;
 use crate::http_server::Aborted;
@@ -37,6 +36,17 @@
 use crate::http_server::ResponseBody;
 use crate::http_server::Spoiler;
 use crate::http_server::listen;
+use crate::responses::aborted_response;
+use crate::responses::call_text;
+use crate::responses::event_count;
+use crate::responses::event_text;
+use crate::responses::field;
+use crate::responses::full_body;
+use crate::responses::helpers;
+use crate::responses::respond;
+use crate::responses::retry_after;
+use crate::tickets::Tickets;
+use crate::tickets::holder;
 
 /// The header field that holds the id of the server that responded.
 pub(crate) const SIGNATURE: &str = "x-response-signature";
@@ -52,57 +62,6 @@
 const ENDLESS_PAUSE: Duration = Duration::from_millis(200);
 /// The delay after which an unanswered order is executed.
 const LATE_ORDER_DELAY: Duration = Duration::from_millis(2_500);
-/// The platform's bound on how long memory may stay reserved that no request has used.
-const UNUSED_LIMIT_MS: Millis = 9_000;
-/// The same after its last request has ended.
-const USED_LIMIT_MS: Millis = 4_000;
-
-/// How a server handles the requests that it receives.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(crate) enum Behavior {
-    /// Answers correctly.
-    #[default]
-    Good,
-    /// Starts to execute requests, but closes the connection without a response.
-    LosesAnswers,
-    /// Aborts responses in the middle.
-    BreaksOff,
-    /// Accepts requests and sends no response content.
-    Mute,
-    /// Answers with another request's id.
-    Confuses,
-    /// Declines requests as if all slots were taken.
-    Sheds,
-    /// Declines requests and orders, and asks for a pause.
-    TurnsAway { pause_ms: Millis },
-    /// Leaves orders unanswered and executes them late.
-    LateOrders,
-    /// Sends a head that never ends, or a part of it.
-    EndlessHead,
-    /// Sends a body that never ends and holds no event.
-    EndlessBody,
-}
-
-impl Behavior {
-    /// Returns the pause that the server asks for.
-    fn pause(self) -> Option<Millis> {
-        match self {
-            Behavior::TurnsAway { pause_ms } => Some(pause_ms),
-            _ => None,
-        }
-    }
-}
-
-/// A reservation of memory.
-#[derive(Debug, Clone, Copy)]
-struct Ticket {
-    since: Millis,
-    until: Millis,
-    /// The number of requests that use it now, and when the last one ended.
-    users: u32,
-    last_use: Option<Millis>,
-}
-
 /// All servers by their published address, so that a helper's reservations can be looked up.
 pub(crate) type Registry = Arc<Mutex<HashMap<SocketAddr, Weak<ServerState>>>>;
 
@@ -114,7 +73,7 @@
     /// Whether it states in its responses that it is leaving.
     is_leaving: AtomicBool,
     running: AtomicU32,
-    tickets: Mutex<HashMap<String, Ticket>>,
+    tickets: Tickets,
     registry: Registry,
     evidence: Evidence,
 }
@@ -139,7 +98,7 @@
             behavior: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             running: AtomicU32::new(0),
-            tickets: Mutex::default(),
+            tickets: Tickets::default(),
             registry: registry.clone(),
             evidence: evidence.clone(),
         });
@@ -176,22 +135,13 @@
 
     /// Drops all reservations, as a crash of the process would.
     pub(crate) fn drop_tickets(&self) {
-        lock(&self.state.tickets).clear();
+        self.state.tickets.clear();
     }
 
     /// Describes each reservation that outlived its bound without a request that uses it.
     pub(crate) fn leaked_tickets(&self) -> Vec<String> {
-        let now = self.state.evidence.now();
-        let tickets = lock(&self.state.tickets);
-        let is_leaked = |ticket: &&Ticket| {
-            let bound = match ticket.last_use {
-                Some(last) => last + USED_LIMIT_MS,
-                None => ticket.since + UNUSED_LIMIT_MS,
-            };
-            ticket.until > now && ticket.users == 0 && now > bound
-        };
-        let leaked_tickets = tickets.values().filter(is_leaked);
-        leaked_tickets.map(|ticket| format!("{}: {ticket:?} at {now} ms", self.state.id)).collect()
+        let leaked = self.state.tickets.leaked(self.state.evidence.now());
+        leaked.into_iter().map(|ticket| format!("{}: {ticket}", self.state.id)).collect()
     }
 }
 
@@ -219,6 +169,9 @@
         if head.uri.path() == "/order" {
             return self.order(&body).await;
         }
+        if head.uri.path() == "/report" {
+            return self.report();
+        }
         let id = field("x-request-id").unwrap_or_default();
         let is_full = self.running.load(Ordering::SeqCst) >= SLOTS;
         let pause = self.behavior().pause();
@@ -373,30 +326,17 @@
             let state = self.clone();
             tokio::spawn(async move {
                 sleep(LATE_ORDER_DELAY).await;
-                state.execute_order(&order, arrived);
+                state.tickets.execute(&order, arrived, state.evidence.now());
             });
             return aborted_response();
         }
-        self.execute_order(&order, arrived);
+        self.tickets.execute(&order, arrived, self.evidence.now());
         respond(StatusCode::OK, "", r#"{"free":450000}"#)
     }
 
-    /// Executes an order; its hold time counts from its arrival.
-    fn execute_order(&self, order: &Value, arrived: Millis) {
-        let mut tickets = lock(&self.tickets);
-        let id = order["id"].as_str().unwrap_or_default().to_owned();
-        if order["operation"] == "release" {
-            tickets.remove(&id);
-            return;
-        }
-        let until = arrived + order["hold_ms"].as_u64().unwrap_or(0);
-        let now = self.evidence.now();
-        tickets.retain(|_, ticket| ticket.until > now || ticket.users > 0);
-        if until > now {
-            let fresh = Ticket { since: now, until, users: 0, last_use: None };
-            let ticket = tickets.entry(id).or_insert(fresh);
-            ticket.until = ticket.until.max(until);
-        }
+    fn report(&self) -> Response<ResponseBody> {
+        let tickets = self.tickets.report(self.evidence.now());
+        respond(StatusCode::OK, "", &json!({ "admission_tickets": tickets }).to_string())
     }
 
     /// Returns the ids of the helpers that still exist.
@@ -413,24 +353,16 @@
             let state = registry.get(&address).and_then(Weak::upgrade);
             let now = self.evidence.now();
             let has = |state: &Arc<ServerState>| match &ticket {
-                Some(name) => lock(&state.tickets).get(name).is_some_and(|one| one.until > now),
+                Some(name) => state.tickets.is_held(name, now),
                 None => true,
             };
             (!state.as_ref().is_some_and(has)).then_some(address)
         })
     }
 
-    fn count_use(&self, name: &str, is_begin: bool) {
-        let mut tickets = lock(&self.tickets);
-        let Some(ticket) = tickets.get_mut(name) else { return };
-        if is_begin {
-            ticket.users += 1;
-            if ticket.users > 1 {
-                self.evidence.record_violation(format!("concurrent requests use ticket {name}"));
-            }
-        } else {
-            ticket.users = ticket.users.saturating_sub(1);
-            ticket.last_use = Some(self.evidence.now());
+    fn begin_use(&self, name: &str) {
+        if self.tickets.begin_use(name) > 1 {
+            self.evidence.record_violation(format!("concurrent requests use ticket {name}"));
         }
     }
 }
@@ -451,7 +383,7 @@
         let tickets: Vec<_> = held.collect();
         drop(registry);
         for (holder, name) in &tickets {
-            holder.count_use(name, true);
+            holder.begin_use(name);
         }
         RequestGuard { state: state.clone(), tickets }
     }
@@ -461,71 +393,7 @@
     fn drop(&mut self) {
         self.state.running.fetch_sub(1, Ordering::SeqCst);
         for (holder, name) in &self.tickets {
-            holder.count_use(name, false);
-        }
-    }
-}
-
-/// Returns the complete response body of a plain call.
-pub(crate) fn call_text(id: &str) -> String {
-    format!("the answer to {id}, and to no other request")
-}
-
-/// Returns the number of events of a request's stream, which is the same on every server.
-pub(crate) fn event_count(id: &str) -> u64 {
-    4 + id.bytes().map(u64::from).sum::<u64>() % 20
-}
-
-/// Returns one event of a request's stream.
-pub(crate) fn event_text(id: &str, number: u64) -> String {
-    format!("id: {number}\ndata: {id} part {number}\n\n")
-}
-
-/// Returns the part of a reservation's name that identifies the process that ordered it.
-fn holder(name: &str) -> Option<String> {
-    name.split_once('-').map(|(holder, _)| holder.to_owned())
-}
-
-fn retry_after(pause: Millis) -> String {
-    format!("retry-after: {}", Duration::from_millis(pause).as_secs_f64())
-}
-
-fn helpers(fields: &HeaderMap) -> Vec<(SocketAddr, Option<String>)> {
-    let text = field(fields, "x-helpers").unwrap_or_default();
-    let helper = |part: &str| {
-        let (address, ticket) = match part.split_once('/') {
-            Some((address, ticket)) => (address, Some(ticket.to_owned())),
-            None => (part, None),
-        };
-        Some((address.trim().parse().ok()?, ticket))
-    };
-    text.split(',').filter_map(helper).collect()
-}
-
-fn field(fields: &HeaderMap, name: &str) -> Option<String> {
-    fields.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
-}
-
-fn full_body(text: &str) -> ResponseBody {
-    ResponseBody::Whole(Full::new(Bytes::from(text.to_owned())))
-}
-
-/// Returns a response whose connection ends before the first byte of its body.
-fn aborted_response() -> Response<ResponseBody> {
-    let (pieces, receiver) = mpsc::channel(1);
-    // Cannot fail: the receiver is held below, and the channel has room for the piece.
-    let _ = pieces.try_send(Err(Aborted));
-    Response::new(ResponseBody::Pieces(receiver))
-}
-
-fn respond(status: StatusCode, fields: &str, body: &str) -> Response<ResponseBody> {
-    let mut response = Response::new(full_body(body));
-    *response.status_mut() = status;
-    for (name, value) in fields.lines().filter_map(|line| line.split_once(": ")) {
-        let name = http::HeaderName::from_bytes(name.as_bytes());
-        if let (Ok(name), Ok(value)) = (name, value.parse()) {
-            response.headers_mut().insert(name, value);
+            holder.tickets.end_use(name, holder.evidence.now());
         }
     }
-    response
 }
