gateway: engines that declined count as full for a while

Cause: the engines still held the work of the hosts that were lost. The started hosts knew of no load, packed requests on the same first engines, were declined 511 times, and sent the next requests there again: a decline only counted a little against an engine's health. Change: an engine that declined a request counts as full for 400 ms, at this host and, by its summaries, at its peers.

--- a/lib/src/coordination/gateway/retry.rs
+++ b/lib/src/coordination/gateway/retry.rs
@@ -271,7 +271,13 @@
                 request.tried.retain(|tried| *tried != dispatch.server.id);
                 request.tried.push(other);
             }
-            None => self.record(now, &dispatch.server.id, ServerResult::Declined),
+            None => {
+                self.record(now, &dispatch.server.id, ServerResult::Declined);
+                let service = self.catalog.as_ref().and_then(|one| one.service(&request.service));
+                if let Some(engine) = service.and_then(|service| service.engine) {
+                    self.loads.record_full(&dispatch.server.id, engine.slots, now);
+                }
+            }
         }
     }
 
--- a/lib/src/state/gateway/load_table.rs
+++ b/lib/src/state/gateway/load_table.rs
@@ -16,6 +16,10 @@
 /// How long a peer's summary is used without a newer one.
 const SUMMARY_TTL: Duration = Duration::from_millis(1_500);
 
+/// How long an engine counts as full after it declined a request: a part of the time that a response
+/// takes. It may hold work that no host knows of, of hosts that were lost.
+const FULL_TIME: Duration = Duration::from_millis(400);
+
 /// The upper bounds of the event gap for the classes [`GapClass::Tight`] and [`GapClass::Loose`].
 const MAX_TIGHT_GAP: Duration = Duration::from_millis(300);
 const MAX_LOOSE_GAP: Duration = Duration::from_millis(650);
@@ -138,6 +142,14 @@
 struct LocalLoad {
     prefill_until: Moment,
     sends: Vec<LocalWork>,
+    full: Option<Full>,
+}
+
+/// An engine that declined a request.
+#[derive(Debug, Clone, Copy)]
+struct Full {
+    until: Moment,
+    slots: u32,
 }
 
 impl LocalLoad {
@@ -154,6 +166,10 @@
                 load.backlog = load.backlog.max(own.work.prefill.mul_f64(OVERDUE_FRACTION));
             }
         }
+        if let Some(full) = self.full.filter(|full| now < full.until) {
+            load.running[GapClass::Wide as usize] +=
+                full.slots.saturating_sub(load.running_total());
+        }
         load
     }
 }
@@ -229,14 +245,20 @@
         let Some(own) = self.local.get_mut(server) else { return };
         own.sends.retain(|work| work.send != send);
         own.end_idle_backlog(now);
-        if own.sends.is_empty() {
-            self.local.remove(server);
-        }
+        self.local.retain(|_, own| !own.is_idle(now));
+    }
+
+    /// Records that `server`, an engine with `slots` slots, declined a request: for a while it counts as
+    /// full, at this host and its peers.
+    pub fn record_full(&mut self, server: &ServerId, slots: u32, now: Moment) {
+        let own = self.local.entry(server.clone()).or_default();
+        own.full = Some(Full { until: now + FULL_TIME, slots });
     }
 
     /// Returns the load that this host causes at each server, by server digest, for its peers.
     pub fn summary(&self, now: Moment) -> Vec<(u32, ServerLoad)> {
-        self.local.iter().map(|(server, own)| (server.digest(), own.load(now))).collect()
+        let causing = self.local.iter().filter(|(_, own)| !own.is_idle(now));
+        causing.map(|(server, own)| (server.digest(), own.load(now))).collect()
     }
 
     /// Replaces a peer's earlier summary.
@@ -273,6 +295,10 @@
 }
 
 impl LocalLoad {
+    fn is_idle(&self, now: Moment) -> bool {
+        self.sends.is_empty() && self.full.is_none_or(|full| now >= full.until)
+    }
+
     /// Ends the backlog when none of this host's sends is in prefill.
     fn end_idle_backlog(&mut self, now: Moment) {
         if !self.sends.iter().any(|work| work.in_prefill) {
