gateway: summaries in a module of their own, and one type for a decision's fields

Change: what a summary has and what each receiver needs of it is peer_summary.rs; InputFields writes nothing without inputs. Words of comments. No behaviour changes.

--- a/lib/src/coordination/gateway/cells.rs
+++ b/lib/src/coordination/gateway/cells.rs
@@ -27,7 +27,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CellHost {
     pub address: Ipv4Addr,
-    /// Whether it was heard before but not recently.
+    /// Whether messages came from it before but not recently.
     pub is_silent: bool,
 }
 
@@ -122,7 +122,7 @@
     hosts.div_ceil(MAX_CELL_HOSTS).next_power_of_two()
 }
 
-/// Returns the number of live hosts among all `hosts`. Those of other cells are seldom heard, so their
+/// Returns the number of live hosts among all `hosts`. Hosts of other cells send few messages, so their
 /// live fraction is taken to be that of the cell which a division of all hosts gives.
 fn live_hosts(hosts: &[CellHost], own: Ipv4Addr) -> usize {
     let count = cell_count(hosts.len());
--- a/lib/src/coordination/gateway/peers.rs
+++ b/lib/src/coordination/gateway/peers.rs
@@ -7,8 +7,15 @@
 
 use super::CellHost;
 use super::Cells;
+use super::HostAck;
+use super::PeerRole;
+use super::PeerSummary;
+use super::ReceivedSummary;
+use super::SummaryTarget;
+use super::peer_summary::FULL_KNOWN_PERIOD;
+use super::peer_summary::MAX_MENTIONS;
+use super::peer_summary::MENTION_SAMPLE;
 use crate::state::Moment;
-use crate::state::ServerLoad;
 use crate::state::SourcePoint;
 use crate::state::ZoneName;
 use crate::state::short_digest;
@@ -20,19 +27,10 @@
 const PEER_RETENTION: Duration = Duration::from_secs(60);
 /// The number of this host's messages whose send times are kept.
 const SENT_HISTORY: usize = 256;
-/// One in this many messages to a peer lists all live hosts; the others list only that peer.
-const FULL_KNOWN_PERIOD: u64 = 17;
 /// How long it takes until each host of another cell was sent a summary, and how long a host of another
-/// cell that was heard is mentioned to others.
+/// cell from which a message came is mentioned to others.
 const OUTSIDER_PERIOD: Duration = Duration::from_secs(15);
 const MENTION_TTL: Duration = Duration::from_secs(20);
-/// The most hosts of other cells that one message mentions: to a host that knows few others, and to all
-/// others.
-const MAX_MENTIONS: usize = 400;
-const MENTION_SAMPLE: usize = 16;
-/// The most acknowledgements in one message. While a large fleet starts, a host may know more live hosts
-/// than one cell has, and the message must stay within a datagram.
-const MAX_FULL_ACKS: usize = 256;
 /// The shortest interval between two summaries to the peers of this host's zone: a constant plus a
 /// part per peer, so that the datagrams that a host receives per second do not grow with the number
 /// of peers.
@@ -49,110 +47,6 @@
 /// The maximum number of peers that are stored.
 const MAX_PEERS: usize = 4_096;
 
-/// Acknowledges the messages of a host up to a sequence number, or only mentions the host.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct HostAck {
-    /// The address of the acknowledged host.
-    pub address: Ipv4Addr,
-    /// The start of that host, which changes when it restarts.
-    pub incarnation: u64,
-    /// The sequence number of the last message received from it.
-    pub sequence: u64,
-}
-
-impl HostAck {
-    /// Mentions the host at `address` without acknowledging a message.
-    fn mention(address: Ipv4Addr) -> HostAck {
-        HostAck { address, incarnation: 0, sequence: 0 }
-    }
-
-    fn is_mention(&self) -> bool {
-        self.sequence == 0
-    }
-}
-
-/// The state that one entry host sends to the others.
-#[derive(Debug, Clone, PartialEq)]
-pub struct PeerSummary {
-    /// Identifies this start of the sending host.
-    pub incarnation: u64,
-    /// The digest of its availability zone's name.
-    pub zone: u32,
-    /// The number of this message since the start, by which a reordered message is dropped.
-    pub sequence: u64,
-    /// The version of its configuration; 0 if it has none.
-    pub version: u64,
-    /// How long before this message that version was last verified to be the newest.
-    pub age: Option<Duration>,
-    /// Whether it may admit requests by that configuration.
-    pub is_usable: bool,
-    /// The newest server list change that it knows of, in the newest era that it knows of.
-    pub servers_change: SourcePoint,
-    /// The summed prefill time of its queued requests.
-    pub queued: Duration,
-    /// The seconds of engine prefill that it starts per second.
-    pub demand: f64,
-    /// The number of other entry hosts that it knows of; 0 if it does not state it.
-    pub hosts: u32,
-    /// The entry hosts that it received messages from recently.
-    pub known: Vec<HostAck>,
-    /// The load that it causes at each server, by server digest.
-    pub loads: Vec<(u32, ServerLoad)>,
-}
-
-impl PeerSummary {
-    /// Returns the summary for `target`. A host of the cell needs only the acknowledgement of its own
-    /// messages; one message in `FULL_KNOWN_PERIOD` lists the other hosts as well.
-    pub fn for_peer(&self, target: SummaryTarget) -> PeerSummary {
-        let mut summary = self.clone();
-        let is_full = self.sequence.is_multiple_of(FULL_KNOWN_PERIOD);
-        let is_receiver = |ack: &HostAck| ack.address == target.address;
-        summary.known.retain(is_receiver);
-        let others = self.known.iter().filter(|ack| !is_receiver(ack));
-        match target.role {
-            PeerRole::Newcomer => {
-                let mentions = others.map(|ack| HostAck::mention(ack.address));
-                summary.known.extend(mentions.take(MAX_MENTIONS));
-            }
-            PeerRole::Member if is_full => {
-                let (mentions, acks): (Vec<HostAck>, Vec<HostAck>) =
-                    others.partition(|ack| ack.is_mention());
-                summary.known.extend(acks.into_iter().take(MAX_FULL_ACKS));
-                summary.known.extend(mentions.into_iter().take(MENTION_SAMPLE));
-            }
-            PeerRole::Member => {}
-            PeerRole::Outsider => summary.loads.clear(),
-        }
-        summary
-    }
-}
-
-/// A summary with the address that it was received from.
-#[derive(Debug, Clone, PartialEq)]
-pub struct ReceivedSummary {
-    /// The sender's address.
-    pub from: Ipv4Addr,
-    pub summary: PeerSummary,
-}
-
-/// What the receiver of a summary is to its sender.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PeerRole {
-    /// A host of the same cell.
-    Member,
-    /// A host of another cell, which needs no loads.
-    Outsider,
-    /// A host that knows few others, and is told of all of them.
-    Newcomer,
-}
-
-/// A receiver of a summary.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SummaryTarget {
-    pub address: Ipv4Addr,
-    pub role: PeerRole,
-}
-
 /// Which peers a summary goes to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SummaryScope {
@@ -195,7 +89,7 @@
     learned: HashMap<Ipv4Addr, Moment>,
     peers: HashMap<Ipv4Addr, Peer>,
     cells: Cells,
-    /// The hosts that have started and are to be told of the others.
+    /// The hosts that have started and know few others.
     newcomers: Vec<Ipv4Addr>,
     /// Until when the share of summaries to other cells that is due has been sent.
     outsiders_sent: Option<Moment>,
--- a/lib/src/transport/gateway/exchange_log.rs
+++ b/lib/src/transport/gateway/exchange_log.rs
@@ -47,12 +47,12 @@
     refusal_response(ctx, &refusal)
 }
 
-/// The inputs of a placement decision as fields of a log line.
-struct InputFields(PlacementInputs);
+/// The inputs of a placement decision as fields of a log line, which has none of them without one.
+struct InputFields(Option<PlacementInputs>);
 
 impl KV for InputFields {
     fn serialize(&self, _: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
-        let inputs = &self.0;
+        let Some(inputs) = &self.0 else { return Ok(()) };
         let counts = [
             ("servers", inputs.listed),
             ("paused", inputs.paused),
@@ -87,15 +87,6 @@
     }
 }
 
-/// Fields that only some log lines of a kind have.
-struct OptionalFields(Option<InputFields>);
-
-impl KV for OptionalFields {
-    fn serialize(&self, record: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
-        self.0.as_ref().map_or(Ok(()), |fields| fields.serialize(record, serializer))
-    }
-}
-
 /// Returns whether `reason` follows from the inputs of the last placement decision.
 fn is_placement_reason(reason: RefusalReason) -> bool {
     matches!(
@@ -155,7 +146,7 @@
             "prompt" => request.size.map_or(0, |size| size.prompt),
             "delay_ms" => delay.as_millis() as u64,
             "age_ms" => now.since(self.arrived).as_millis() as u64,
-            InputFields(request.inputs));
+            InputFields(Some(request.inputs)));
     }
 
     pub(crate) fn log_send(&self, now: Moment, dispatch: &Dispatch) {
@@ -253,7 +244,7 @@
         if let Some(log) = self.ctx.telemetry.limited_log(now, kind) {
             let reason = refusal.map(|refusal| refusal.cause.unwrap_or(refusal.reason));
             let has_inputs = reason.is_some_and(is_placement_reason);
-            let inputs = has_inputs.then(|| InputFields(request.inputs));
+            let inputs = InputFields(has_inputs.then_some(request.inputs));
             info!(log, "request ended"; "request" => &request.id, "outcome" => outcome,
                 "status" => status, "route" => &*request.route.name,
                 "customer" => request.customer.as_ref().map_or("", |name| name.as_str()),
@@ -264,7 +255,7 @@
                 "cause" => cause.map_or("", RefusalReason::name),
                 "pause_ms" => self.longest_pause.get().as_millis() as u64,
                 "back_ms" => retry_after.map_or(-1, |after| after.as_millis() as i64),
-                "age_ms" => now.since(self.arrived).as_millis() as u64, OptionalFields(inputs));
+                "age_ms" => now.since(self.arrived).as_millis() as u64, inputs);
         }
     }
 }
