gateway: tell the crash of a server from the loss of a connection

A reset connection and a process that is gone were both `reset` or `lost`, and what the prompts of the lost requests have in common was neither read nor logged. Change: the parts of a prompt that other prompts may have are read from its list. After a lost send of which the answer had been written for less than 0.5 s, a new connection shows whether the process is gone: line `server crashed` with the parts and with what else the hosts had at that server, and fault `crashed` of `server_faults`. No decision depends on it.

--- a/lib/examples/placement_cost.rs
+++ b/lib/examples/placement_cost.rs
@@ -124,6 +124,7 @@
         timeout: Some(Duration::from_secs(10)),
         size: Some(PromptSize { prompt, max_output: 500 }),
         last_event: None,
+        ..RequestFacts::default()
     };
     let Ok(mut request) = gateway.admit(now, &facts) else { return Duration::ZERO };
     let mut time = Duration::ZERO;
--- a/lib/src/coordination/gateway/request.rs
+++ b/lib/src/coordination/gateway/request.rs
@@ -18,6 +18,7 @@
 use crate::state::RouteKind;
 use crate::state::ServerId;
 use crate::state::ServiceName;
+use crate::state::SharedParts;
 
 /// The retry delay for callers of a host without a usable configuration.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -48,6 +49,8 @@
     pub customer: Option<CustomerName>,
     /// Its size, if it is for a model engine.
     pub size: Option<PromptSize>,
+    /// The parts of its prompt that other prompts may have as well.
+    pub parts: SharedParts,
     /// When its head was read.
     pub arrived: Moment,
     /// When the final response must be sent.
@@ -136,6 +139,7 @@
             service,
             customer: customer.map(|customer| customer.name.clone()),
             size: facts.size,
+            parts: facts.parts.clone(),
             arrived: now,
             deadline: now + timeout.saturating_sub(RETURN_MARGIN).min(route.timeout),
             abandon_at: now + first_event_patience(route, timeout),
--- a/lib/src/state/gateway/facts.rs
+++ b/lib/src/state/gateway/facts.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::state::SharedParts;
+
 /// The size of a request to a model engine, as stated by its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptSize {
@@ -26,6 +28,8 @@
     pub timeout: Option<Duration>,
     /// The size, if the request is for a model engine.
     pub size: Option<PromptSize>,
+    /// The parts of the prompt that other prompts may have as well.
+    pub parts: SharedParts,
     /// The id of the last event that the caller already has, when it resumes a stream.
     pub last_event: Option<u64>,
 }
--- a/lib/src/transport/gateway/active_send.rs
+++ b/lib/src/transport/gateway/active_send.rs
@@ -1,5 +1,6 @@
 //! A request in progress at a server, with all that it holds.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use super::context::GatewayContext;
@@ -16,13 +17,22 @@
     pub(crate) upstream: Option<Upstream>,
     /// The engine memory that is reserved for it; released on drop.
     pub(crate) memory: Option<MemoryReservation>,
+    /// When the first event of the response arrived.
+    pub(crate) first_event: Cell<Option<Moment>>,
     is_closed: bool,
 }
 
 impl ActiveSend {
     /// Creates a send that is not connected yet.
     pub(crate) fn new(ctx: Rc<GatewayContext>, dispatch: Dispatch) -> ActiveSend {
-        ActiveSend { ctx, dispatch, upstream: None, memory: None, is_closed: false }
+        ActiveSend {
+            ctx,
+            dispatch,
+            upstream: None,
+            memory: None,
+            first_event: Cell::new(None),
+            is_closed: false,
+        }
     }
 
     /// Closes the connection and releases what the send holds; also done on drop.
--- a/lib/src/transport/gateway/event_relay.rs
+++ b/lib/src/transport/gateway/event_relay.rs
@@ -301,10 +301,12 @@
     result: SendResult,
 ) -> Option<StreamStart> {
     let mut dispatch = send.dispatch.clone();
+    let mut first_event = send.first_event.get();
     drop(send);
     let mut result = result;
     extend_patience(exchange);
     loop {
+        exchange.check_crash(&dispatch, &result, first_event.take()).await;
         match exchange.after_send(&dispatch, &result) {
             NextStep::PlaceAgain => {}
             NextStep::Refuse(_) | NextStep::RelayFailure | NextStep::CutAnswer => return None,
--- a/lib/src/transport/gateway/exchange.rs
+++ b/lib/src/transport/gateway/exchange.rs
@@ -201,6 +201,7 @@
                 Ok(stream) => return stream,
                 Err(failure) => failure,
             };
+            self.check_crash(&dispatch, &failure.result, None).await;
             let lost = GatewayRefusal::new(RefusalReason::AnswerLost);
             let refusal = match (self.after_send(&dispatch, &failure.result), failure.response) {
                 (NextStep::PlaceAgain, _) => continue,
@@ -445,6 +446,7 @@
         }
         let now = self.ctx.now();
         active.record_progress(now);
+        active.first_event.set(Some(now));
         self.ctx.gateway.borrow_mut().record_first_event(now, &active.dispatch);
         self.ctx.notify_load_change();
         self.record_first_event(now, &active.dispatch);
--- a/lib/src/transport/gateway/mod.rs
+++ b/lib/src/transport/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod byte_meter;
 pub(crate) mod clock;
 pub(crate) mod context;
+pub(crate) mod crash_check;
 pub(crate) mod dialect;
 pub(crate) mod event_relay;
 pub(crate) mod exchange;
--- a/lib/src/transport/gateway/successor.rs
+++ b/lib/src/transport/gateway/successor.rs
@@ -148,6 +148,7 @@
                     | SendResult::NoAttempt
             );
             unsent += u32::from(!was_sent);
+            self.check_crash(&dispatch, &result, None).await;
             self.record_successor_failure(&dispatch, &result);
         }
         None
--- a/lib/tests/gateways/mod.rs
+++ b/lib/tests/gateways/mod.rs
@@ -118,6 +118,7 @@
         timeout: Some(ms(10_000)),
         size: path.starts_with("/stream/").then_some(PromptSize { prompt: 5_000, max_output: 500 }),
         last_event: None,
+        ..RequestFacts::default()
     }
 }
 
