gateway: isolate the parts of prompts that crash servers

Cause: a query of death. A part of some prompts ends each engine that begins to write an answer. To the gateway each crash was the loss of one server: the request went on to the next one, and nothing that requests have in common was looked at, on any host. Each crash has one request with a head and no event; the same request is at both of the engines that it was sent to. Change: hosts report to each other the crashes of servers with the parts of the prompts whose answers may just have begun, and answers that clear a part. The part that explains the most crashes and under which nothing is answered is refused (503 `part_isolated`, with the time after which it may come back): after three crashes, or five since the last answer of a part that was sound. Crashes within 100 ms count once, since they may have a cause in common. A request that was lost with its server goes to no other one if one of its parts may have crashed two. One customer alone has only its own requests refused; an answer, a better explanation, ten minutes without crashes or the setting `trusted_parts` clear a part. Why it works: any two requests differ in all but the part, so only the part is at all crashes, and sound requests that share the rest show by their answers that it is sound. What a host sees of five crashes is too little; all reports reach all hosts at once, those of other cells and those that start as well. Datagrams without crashes are as before.

--- a/lib/src/coordination/gateway/cluster_view.rs
+++ b/lib/src/coordination/gateway/cluster_view.rs
@@ -143,6 +143,7 @@
 
     /// Returns the summary to send to the peers.
     pub fn peer_summary(&mut self, now: Moment) -> PeerSummary {
+        let crashes = self.crash_news(now);
         let (sequence, known) = self.peers.begin_message(now);
         PeerSummary {
             incarnation: self.peers.incarnation(),
@@ -157,6 +158,7 @@
             hosts: self.peers.known_count(now) as u32,
             known,
             loads: self.loads.summary(now),
+            crashes,
         }
     }
 
@@ -183,6 +185,9 @@
             let loads = summary.loads.iter().copied();
             self.loads.apply_summary(summary.incarnation, loads, now);
         }
+        let sent = self.peers.sent_after(summary);
+        let crashes = std::mem::take(&mut summary.crashes);
+        self.apply_crash_news(now, crashes, sent);
         self.peers.apply_summary(now, received)
     }
 
@@ -198,7 +203,8 @@
 
     /// Returns the hosts to send a summary to now.
     pub fn summary_targets(&mut self, now: Moment, scope: SummaryScope) -> Vec<SummaryTarget> {
-        self.peers.summary_targets(now, scope)
+        let has_news = self.isolations.take_round(now);
+        self.peers.summary_targets(now, scope, has_news)
     }
 
     /// Returns the number of cells into which the fleet is divided.
--- a/lib/src/coordination/gateway/mod.rs
+++ b/lib/src/coordination/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod cells;
 pub(crate) mod cluster_view;
 pub(crate) mod departures;
+pub(crate) mod isolation;
 pub(crate) mod pauses;
 pub(crate) mod peer_summary;
 pub(crate) mod peers;
@@ -25,6 +26,7 @@
 pub use candidates::PrefillInputs;
 pub use cells::*;
 pub use cluster_view::*;
+pub use isolation::*;
 pub use peer_summary::*;
 pub use peers::*;
 pub use placement::*;
@@ -89,6 +91,7 @@
     health: HashMap<ServerId, ServerHealth>,
     departures: departures::Departures,
     pauses: ServerPauses,
+    isolations: isolation::Isolations,
     budgets: HashMap<ServiceName, GatewayRetryBudget>,
     peers: Peers,
     source: source_view::SourceView,
@@ -115,6 +118,7 @@
             health: HashMap::new(),
             departures: departures::Departures::default(),
             pauses: ServerPauses::default(),
+            isolations: isolation::Isolations::default(),
             budgets: HashMap::new(),
             source: source_view::SourceView::default(),
             queue: WaitQueue::default(),
--- a/lib/src/coordination/gateway/peer_summary.rs
+++ b/lib/src/coordination/gateway/peer_summary.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use super::CrashNews;
 use crate::state::ServerLoad;
 use crate::state::SourcePoint;
 
@@ -65,6 +66,8 @@
     pub known: Vec<HostAck>,
     /// The load that it causes at each server, by server digest.
     pub loads: Vec<(u32, ServerLoad)>,
+    /// The crashes of servers that it knows of.
+    pub crashes: CrashNews,
 }
 
 impl PeerSummary {
@@ -75,6 +78,9 @@
         let is_full = self.sequence.is_multiple_of(FULL_KNOWN_PERIOD);
         let is_receiver = |ack: &HostAck| ack.address == target.address;
         summary.known.retain(is_receiver);
+        if target.role == PeerRole::Member && !target.is_returned {
+            summary.crashes.retain_fresh();
+        }
         let others = self.known.iter().filter(|ack| !is_receiver(ack));
         match target.role {
             PeerRole::Newcomer => {
@@ -118,4 +124,6 @@
 pub struct SummaryTarget {
     pub address: Ipv4Addr,
     pub role: PeerRole,
+    /// Whether it started or was silent lately, and may lack earlier news.
+    pub is_returned: bool,
 }
--- a/lib/src/coordination/gateway/peers.rs
+++ b/lib/src/coordination/gateway/peers.rs
@@ -44,6 +44,8 @@
 /// How long a starting host waits for its seeds before it reads the configuration: a live peer sends
 /// a summary within [`MAX_SUMMARY_INTERVAL`].
 const START_WAIT: Duration = Duration::from_millis(500);
+/// How many summaries tell all news to a host that started or was silent; single ones may be lost.
+const RETURNED_SUMMARIES: u32 = 3;
 /// The maximum number of peers that are stored.
 const MAX_PEERS: usize = 4_096;
 
@@ -91,6 +93,8 @@
     cells: Cells,
     /// The hosts that have started and know few others.
     newcomers: Vec<Ipv4Addr>,
+    /// The hosts that started or were silent, with the number of summaries that still tell them all news.
+    returned: HashMap<Ipv4Addr, u32>,
     /// Until when the share of summaries to other cells that is due has been sent.
     outsiders_sent: Option<Moment>,
     /// The host of another cell that was sent a summary last.
@@ -112,6 +116,7 @@
             peers: HashMap::new(),
             cells: Cells::default(),
             newcomers: Vec::new(),
+            returned: HashMap::new(),
             outsiders_sent: None,
             last_outsider: None,
         }
@@ -216,6 +221,9 @@
         if is_started && (summary.hosts as usize) < self.known_count(now) / 2 {
             self.newcomers.push(received.from);
         }
+        if is_new || is_started {
+            self.returned.insert(received.from, RETURNED_SUMMARIES);
+        }
         if is_new {
             self.peers.retain(|_, peer| now.since(peer.last_heard) <= PEER_RETENTION);
             self.learned.retain(|_, at| now.since(*at) <= PEER_RETENTION);
@@ -277,11 +285,12 @@
         known.filter(|address| !is_own(address)).count()
     }
 
-    /// Returns the hosts to send a summary to now.
+    /// Returns the hosts to send a summary to now; with `has_news`, those of other cells as well.
     pub(crate) fn summary_targets(
         &mut self,
         now: Moment,
         scope: SummaryScope,
+        has_news: bool,
     ) -> Vec<SummaryTarget> {
         self.review_cells(now);
         let (mut members, outsiders): (Vec<Ipv4Addr>, Vec<Ipv4Addr>) =
@@ -289,15 +298,17 @@
         let far = members.iter().filter(|address| !self.is_zone_peer(now, address)).count() as u32;
         let interval = (CROSS_ZONE_INTERVAL_PER_PEER * far).min(MAX_SUMMARY_INTERVAL);
         let is_due = self.last_broadcast.is_none_or(|at| now.since(at) >= interval);
-        if is_due || scope == SummaryScope::All {
+        if is_due || has_news || scope == SummaryScope::All {
             self.last_broadcast = Some(now);
         } else {
             members.retain(|address| self.is_zone_peer(now, address));
         }
-        let outsiders = self.due_outsiders(now, &outsiders);
+        let due = self.due_outsiders(now, &outsiders);
+        let outsiders = if has_news { outsiders } else { due };
         let newcomers = std::mem::take(&mut self.newcomers);
         let role = |addresses: Vec<Ipv4Addr>, role| {
-            addresses.into_iter().map(move |address| SummaryTarget { address, role })
+            let target = move |address| SummaryTarget { address, role, is_returned: false };
+            addresses.into_iter().map(target)
         };
         let mut targets: Vec<SummaryTarget> = role(newcomers.clone(), PeerRole::Newcomer)
             .chain(role(members, PeerRole::Member))
@@ -306,6 +317,13 @@
         targets.retain(|target| {
             target.role == PeerRole::Newcomer || !newcomers.contains(&target.address)
         });
+        for target in &mut targets {
+            if let Some(left) = self.returned.get_mut(&target.address) {
+                target.is_returned = true;
+                *left -= 1;
+            }
+        }
+        self.returned.retain(|_, left| *left > 0);
         targets
     }
 
--- a/lib/src/coordination/gateway/placement.rs
+++ b/lib/src/coordination/gateway/placement.rs
@@ -110,6 +110,10 @@
         if (now + MIN_SERVICE_TIME) >= request.deadline {
             return self.refuse(request, self.timeout_refusal(request));
         }
+        self.review_isolations(now);
+        if let Some(refusal) = self.isolation_refusal(now, request) {
+            return self.refuse(request, lost_if_may_have_run(request, refusal));
+        }
         let seed = self.random.random();
         let (choice, inputs) = self.choose(now, request, seed);
         request.inputs = inputs;
--- a/lib/src/coordination/gateway/refusal.rs
+++ b/lib/src/coordination/gateway/refusal.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::time::Duration;
 
+use crate::state::PartId;
+
 /// Why a request is refused or fails without a server's response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum RefusalReason {
@@ -30,6 +32,10 @@
     ServersPaused,
     /// The prompt is larger than the engines' memory.
     PromptTooLarge,
+    /// A part of its prompt crashes servers.
+    PartIsolated,
+    /// It was lost with its server, and a part of its prompt may have crashed several.
+    PartSuspected,
     /// Engine memory could not be reserved.
     NoMemory,
     /// No server can start before the caller abandons the request.
@@ -69,6 +75,8 @@
             RefusalReason::NoServer => "no_server",
             RefusalReason::ServersPaused => "servers_paused",
             RefusalReason::PromptTooLarge => "prompt_too_large",
+            RefusalReason::PartIsolated => "part_isolated",
+            RefusalReason::PartSuspected => "part_suspected",
             RefusalReason::NoMemory => "no_memory",
             RefusalReason::Overload => "overload",
             RefusalReason::TooCostly => "too_costly",
@@ -88,7 +96,7 @@
             RefusalReason::BadRequest => 400,
             RefusalReason::BodyTooLarge => 413,
             RefusalReason::BodyTimeout => 408,
-            RefusalReason::AnswerLost => 502,
+            RefusalReason::AnswerLost | RefusalReason::PartSuspected => 502,
             RefusalReason::ServerTimeout => 504,
             RefusalReason::NoConfiguration
             | RefusalReason::StaleConfiguration
@@ -97,6 +105,7 @@
             | RefusalReason::NoServer
             | RefusalReason::ServersPaused
             | RefusalReason::PromptTooLarge
+            | RefusalReason::PartIsolated
             | RefusalReason::NoMemory
             | RefusalReason::Overload
             | RefusalReason::TooCostly
@@ -121,17 +130,19 @@
     pub retry_after: Option<Duration>,
     /// Why the request was not placed again, if a server may have run it and `reason` says only that.
     pub cause: Option<RefusalReason>,
+    /// The part of the prompt because of which it is refused.
+    pub part: Option<PartId>,
 }
 
 impl GatewayRefusal {
     /// Creates a refusal without a retry delay.
     pub fn new(reason: RefusalReason) -> GatewayRefusal {
-        GatewayRefusal { reason, retry_after: None, cause: None }
+        GatewayRefusal { reason, retry_after: None, cause: None, part: None }
     }
 
     /// Creates a refusal after which the caller may retry after `after`.
     pub fn retry_after(reason: RefusalReason, after: Duration) -> GatewayRefusal {
-        GatewayRefusal { reason, retry_after: Some(after), cause: None }
+        GatewayRefusal { reason, retry_after: Some(after), cause: None, part: None }
     }
 
     /// Returns this refusal without its promise that the request has not run.
@@ -140,6 +151,7 @@
             reason: RefusalReason::AnswerLost,
             retry_after: None,
             cause: Some(self.cause.unwrap_or(self.reason)),
+            part: self.part,
         }
     }
 }
--- a/lib/src/coordination/gateway/retry.rs
+++ b/lib/src/coordination/gateway/retry.rs
@@ -38,6 +38,8 @@
     Leaving,
     /// One of its servers asked for a pause after it was chosen; nothing was sent.
     Paused,
+    /// A part of its prompt was isolated after its server was chosen; nothing was sent.
+    Isolated,
     /// The server states that it did not run the request and never will.
     Declined {
         /// The address of the server at fault, if it is another one.
@@ -116,6 +118,9 @@
     /// Returns whether `request`, whose server is silent, may be sent to another server as well.
     pub fn has_successor(&mut self, now: Moment, request: &GatewayRequest) -> bool {
         let servers = self.usable_servers(&request.service);
+        if self.is_suspected(request) || self.is_isolated(now, request) {
+            return false;
+        }
         let has_other = servers
             .iter()
             .filter(|server| !self.is_paused(now, &server.id))
@@ -158,7 +163,9 @@
             SendResult::NoMemory | SendResult::Leaving => {
                 request.tried.retain(|tried| tried != server);
             }
-            SendResult::Paused => request.tried.retain(|tried| tried != server),
+            SendResult::Paused | SendResult::Isolated => {
+                request.tried.retain(|tried| tried != server);
+            }
             SendResult::Declined { at_fault, .. } => {
                 self.record_decline(now, request, dispatch, at_fault.as_deref());
                 request.unresolved_sends = request.unresolved_sends.saturating_sub(1);
@@ -202,7 +209,7 @@
                     GatewayRefusal::retry_after(RefusalReason::NoMemory, DECLINED_RETRY_AFTER);
                 NextStep::Refuse(lost_if_may_have_run(request, refusal))
             }
-            SendResult::Leaving | SendResult::Paused => NextStep::PlaceAgain,
+            SendResult::Leaving | SendResult::Paused | SendResult::Isolated => NextStep::PlaceAgain,
             SendResult::Declined { retry_after, .. } => {
                 if self.take_retry(now, request) {
                     return NextStep::PlaceAgain;
@@ -218,6 +225,11 @@
                 }
                 NextStep::RelayFailure
             }
+            SendResult::Lost if self.is_suspected(request) => {
+                let refusal = GatewayRefusal::new(RefusalReason::PartSuspected);
+                NextStep::Refuse(refusal.without_promise())
+            }
+            SendResult::Cut if self.is_suspected(request) => NextStep::CutAnswer,
             SendResult::Lost => {
                 if request.is_retryable() && self.take_retry(now, request) {
                     return NextStep::PlaceAgain;
--- a/lib/src/protocol/gateway/load_wire.rs
+++ b/lib/src/protocol/gateway/load_wire.rs
@@ -6,6 +6,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::crash_wire::WireCrashes;
+use crate::coordination::CrashNews;
 use crate::coordination::HostAck;
 use crate::coordination::PeerSummary;
 use crate::state::GapClass;
@@ -90,7 +92,11 @@
 pub fn encode_summary(summary: &PeerSummary) -> Result<Vec<u8>, postcard::Error> {
     let suffix = WireSuffix { era: summary.servers_change.era.0 };
     let fleet = WireFleet { hosts: summary.hosts };
-    postcard::to_stdvec(&(WireSummary::from(summary), suffix, fleet))
+    let mut datagram = postcard::to_stdvec(&(WireSummary::from(summary), suffix, fleet))?;
+    if !summary.crashes.is_empty() {
+        datagram.extend(postcard::to_stdvec(&WireCrashes::from(&summary.crashes))?);
+    }
+    Ok(datagram)
 }
 
 /// Decodes a datagram.
@@ -111,13 +117,18 @@
         [] => Default::default(),
         rest => postcard::take_from_bytes(rest).map_err(malformed)?,
     };
-    let fleet: WireFleet = match rest {
-        [] => WireFleet::default(),
+    let (fleet, rest): (WireFleet, &[u8]) = match rest {
+        [] => Default::default(),
+        rest => postcard::take_from_bytes(rest).map_err(malformed)?,
+    };
+    let crashes: WireCrashes = match rest {
+        [] => WireCrashes::default(),
         rest => postcard::from_bytes(rest).map_err(malformed)?,
     };
     let mut summary = PeerSummary::from(wire);
     summary.servers_change.era = SourceEra(suffix.era);
     summary.hosts = fleet.hosts;
+    summary.crashes = crashes.into();
     Ok(summary)
 }
 
@@ -190,6 +201,7 @@
             hosts: 0,
             known: known.collect(),
             loads: loads.collect(),
+            crashes: CrashNews::default(),
         }
     }
 }
--- a/lib/src/protocol/gateway/settings.rs
+++ b/lib/src/protocol/gateway/settings.rs
@@ -12,6 +12,7 @@
 use crate::coordination::GatewayBounds;
 use crate::protocol::LogLevel;
 use crate::state::MemoryBounds;
+use crate::state::PartId;
 use crate::state::RetryBounds;
 use crate::state::ZoneName;
 
@@ -61,6 +62,9 @@
     pub repeat_slack: f64,
     /// The window in which retries are counted, in seconds.
     pub repeat_window_s: f64,
+    /// The parts of prompts that are never isolated, by their ids.
+    #[serde(default)]
+    pub trusted_parts: Vec<String>,
     /// The lowest severity of log lines that are written.
     #[serde(default)]
     pub log_level: SettingsLevel,
@@ -176,6 +180,9 @@
                 return bad_value(field, message);
             }
         }
+        if self.trusted_parts.iter().any(String::is_empty) {
+            return bad_value("trusted_parts", "has an empty id: expected ids of parts".to_owned());
+        }
         let counts = [("repeat_ratio", self.repeat_ratio), ("repeat_slack", self.repeat_slack)];
         for (field, value) in counts {
             if !(value >= 0.0 && value.is_finite()) {
@@ -207,6 +214,11 @@
         }
     }
 
+    /// Returns the parts of prompts that are never isolated.
+    pub fn trusted_parts(&self) -> impl Iterator<Item = PartId> {
+        self.trusted_parts.iter().map(|id| PartId::from_text(id))
+    }
+
     /// Returns the IP address of this host.
     pub fn ip(&self) -> Ipv4Addr {
         *self.callers.ip()
--- a/lib/src/state/gateway/mod.rs
+++ b/lib/src/state/gateway/mod.rs
@@ -1,8 +1,10 @@
 //! State of the gateway: routes, load per server, server health, retry budgets and the age of the
 //! configuration. The gateway relays request bodies without reading them.
 
+pub(crate) mod answered_parts;
 pub(crate) mod budget;
 pub(crate) mod catalog;
+pub(crate) mod crash_evidence;
 pub(crate) mod demand;
 pub(crate) mod engine_profile;
 pub(crate) mod facts;
@@ -16,8 +18,10 @@
 pub(crate) mod source_era;
 pub(crate) mod ticket_renewal;
 
+pub use answered_parts::*;
 pub use budget::*;
 pub use catalog::*;
+pub use crash_evidence::*;
 pub use demand::*;
 pub use engine_profile::*;
 pub use facts::*;
--- a/lib/src/transport/gateway/active_send.rs
+++ b/lib/src/transport/gateway/active_send.rs
@@ -19,6 +19,8 @@
     pub(crate) memory: Option<MemoryReservation>,
     /// When the first event of the response arrived.
     pub(crate) first_event: Cell<Option<Moment>>,
+    /// Whether the response shows that the prompt crashes no server.
+    pub(crate) is_sound: Cell<bool>,
     is_closed: bool,
 }
 
@@ -31,6 +33,7 @@
             upstream: None,
             memory: None,
             first_event: Cell::new(None),
+            is_sound: Cell::new(false),
             is_closed: false,
         }
     }
--- a/lib/src/transport/gateway/crash_check.rs
+++ b/lib/src/transport/gateway/crash_check.rs
@@ -6,14 +6,18 @@
 
 use slog::info;
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
+use super::active_send::ActiveSend;
 use super::exchange::Exchange;
 use super::telemetry::LineKind;
 use crate::coordination::Dispatch;
 use crate::coordination::SendResult;
 use crate::state::Moment;
 
+/// The delay before a lost server is probed: a process that ends closes its sockets one by one.
+const PROBE_DELAY: Duration = Duration::from_millis(5);
 /// How long a lost server may take to accept or refuse a new connection. One that does neither may be
 /// cut off or without power.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -22,6 +26,7 @@
 
 /// Returns whether the process at `address` is gone: the system there refuses connections.
 async fn is_refused(address: SocketAddr) -> bool {
+    sleep(PROBE_DELAY).await;
     match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
         Ok(Ok(_)) | Err(_) => false,
@@ -45,6 +50,19 @@
             return;
         }
         self.log_crash(dispatch, first_event);
+        let now = self.ctx.now();
+        self.ctx.gateway.borrow_mut().record_crash(now, &self.request.borrow(), dispatch);
+        self.ctx.urgent_summary.notify_one();
+    }
+
+    /// Records, once for each send, that its answer is complete or has been written for long enough that
+    /// its server will not crash because of it.
+    pub(crate) fn record_if_sound(&self, send: &ActiveSend, is_complete: bool) {
+        let Some(began) = send.first_event.get() else { return };
+        let is_sound = is_complete || self.ctx.now().since(began) >= SOUND_AFTER;
+        if is_sound && !send.is_sound.replace(true) {
+            self.ctx.gateway.borrow_mut().record_sound_answer(&self.request.borrow(), began);
+        }
     }
 
     fn log_crash(&self, dispatch: &Dispatch, first_event: Option<Moment>) {
--- a/lib/src/transport/gateway/event_relay.rs
+++ b/lib/src/transport/gateway/event_relay.rs
@@ -197,6 +197,7 @@
         let result = match end {
             ServerStreamEnd::Complete => {
                 let now = exchange.ctx.now();
+                exchange.record_if_sound(&send, true);
                 exchange.ctx.gateway.borrow_mut().record_response(now, &send.dispatch);
                 exchange.ctx.telemetry.count_send("answered");
                 exchange.record_end("answered", LineKind::Success, status, None);
@@ -270,6 +271,7 @@
         };
         let now = exchange.ctx.now();
         send.record_progress(now);
+        exchange.record_if_sound(send, false);
         exchange.longest_pause.set(exchange.longest_pause.get().max(now.since(last)));
         last = now;
         if event.id.is_some() {
@@ -323,9 +325,10 @@
             Ok(Answer::Response(_)) => return None,
             Err(failure) => {
                 result = match failure.result {
-                    unsent @ (SendResult::Unreached | SendResult::Leaving | SendResult::Paused) => {
-                        unsent
-                    }
+                    unsent @ (SendResult::Unreached
+                    | SendResult::Leaving
+                    | SendResult::Paused
+                    | SendResult::Isolated) => unsent,
                     _ => SendResult::Cut,
                 };
                 dispatch = next;
--- a/lib/src/transport/gateway/exchange.rs
+++ b/lib/src/transport/gateway/exchange.rs
@@ -328,6 +328,9 @@
         if self.ctx.gateway.borrow().is_dispatch_paused(now, &active.dispatch) {
             return Err(SendResult::Paused);
         }
+        if self.ctx.gateway.borrow().is_isolated(now, &self.request.borrow()) {
+            return Err(SendResult::Isolated);
+        }
         if !self.begin_send(now, &active.dispatch) {
             return Err(SendResult::NoAttempt);
         }
@@ -417,6 +420,8 @@
         if response.status().is_server_error() {
             return Err(SendFailure { result: SendResult::Failed, response: Some(response) });
         }
+        active.first_event.set(Some(now));
+        self.record_if_sound(&active, true);
         self.ctx.gateway.borrow_mut().record_response(now, &active.dispatch);
         self.ctx.telemetry.count_send("answered");
         let time = now.since(self.arrived);
--- a/lib/src/transport/gateway/exchange_log.rs
+++ b/lib/src/transport/gateway/exchange_log.rs
@@ -235,6 +235,7 @@
     ) {
         let retry_after = refusal.and_then(|refusal| refusal.retry_after);
         let cause = refusal.and_then(|refusal| refusal.cause);
+        let part = refusal.and_then(|refusal| refusal.part);
         self.is_finished.set(true);
         let request = self.request.borrow();
         let now = self.ctx.now();
@@ -253,6 +254,7 @@
                 "prompt" => request.size.map_or(0, |size| size.prompt),
                 "last_event" => request.last_event.unwrap_or(0),
                 "cause" => cause.map_or("", RefusalReason::name),
+                "part" => part.map_or(String::new(), |part| part.to_string()),
                 "pause_ms" => self.longest_pause.get().as_millis() as u64,
                 "back_ms" => retry_after.map_or(-1, |after| after.as_millis() as i64),
                 "age_ms" => now.since(self.arrived).as_millis() as u64, inputs);
@@ -275,6 +277,7 @@
         SendResult::NoAttempt => "no_attempt",
         SendResult::Leaving => "leaving",
         SendResult::Paused => "paused",
+        SendResult::Isolated => "isolated",
         SendResult::Declined { .. } => "declined",
         SendResult::Failed => "failed",
         SendResult::Lost => "lost",
--- a/lib/src/transport/gateway/process.rs
+++ b/lib/src/transport/gateway/process.rs
@@ -35,6 +35,8 @@
 use crate::coordination::Gateway;
 use crate::coordination::StopPhase;
 use crate::protocol::GatewaySettings;
+use crate::state::IsolationChange;
+use crate::state::Moment;
 use crate::state::SourcePoint;
 
 /// Buffered request bodies may use the process's memory divided by this number.
@@ -115,6 +117,7 @@
         "version" => env!("CARGO_PKG_VERSION"), "incarnation" => seed);
     let mut gateway = Gateway::new(settings.bounds(), seed);
     set_seeds(&mut gateway, &settings);
+    gateway.set_trusted_parts(clock.now(), settings.trusted_parts());
     let ctx = Rc::new(GatewayContext {
         gateway: RefCell::new(gateway),
         dialect,
@@ -224,6 +227,7 @@
                 let mut gateway = ctx.gateway.borrow_mut();
                 gateway.set_bounds(settings.bounds());
                 set_seeds(&mut gateway, &settings);
+                gateway.set_trusted_parts(ctx.now(), settings.trusted_parts());
                 info!(ctx.telemetry.log(), "settings reloaded"; "host" => &settings.host);
             }
             Err(error) => {
@@ -246,6 +250,11 @@
                 info!(ctx.telemetry.log(), "missing servers dropped"; "servers" => dropped);
             }
         }
+        gateway.review_isolations(now);
+        for change in gateway.take_isolation_changes() {
+            log_isolation_change(ctx.telemetry.log(), now, &change);
+        }
+        ctx.telemetry.gauges.isolated_parts.set(gateway.isolated_count() as i64);
         let is_ready = gateway.is_ready(now);
         if is_ready != was_ready {
             was_ready = is_ready;
@@ -256,6 +265,21 @@
     }
 }
 
+fn log_isolation_change(log: &Logger, now: Moment, change: &IsolationChange) {
+    match change {
+        IsolationChange::Isolated { part, isolation } => {
+            warn!(log, "prompt part isolated"; "part" => %part.part, "crashes" => isolation.crashes,
+                "customers" => isolation.customer_count(),
+                "left_s" => isolation.time_left(now).as_secs());
+        }
+        IsolationChange::Cleared { part, isolation, reason } => {
+            warn!(log, "prompt part cleared"; "part" => %part.part, "reason" => reason.name(),
+                "crashes" => isolation.crashes,
+                "isolated_s" => now.since(isolation.since).as_secs());
+        }
+    }
+}
+
 /// Applies the updates of the fleet source.
 async fn apply_updates(ctx: Rc<GatewayContext>, mut updates: mpsc::Receiver<FleetUpdate>) {
     while let Some(update) = updates.recv().await {
--- a/lib/src/transport/gateway/successor.rs
+++ b/lib/src/transport/gateway/successor.rs
@@ -145,6 +145,7 @@
                     | SendResult::NoMemory
                     | SendResult::Leaving
                     | SendResult::Paused
+                    | SendResult::Isolated
                     | SendResult::NoAttempt
             );
             unsent += u32::from(!was_sent);
--- a/lib/src/transport/gateway/telemetry.rs
+++ b/lib/src/transport/gateway/telemetry.rs
@@ -93,6 +93,7 @@
     pub(crate) waiting: Gauge,
     pub(crate) connections: Gauge,
     pub(crate) buffered_bytes: Gauge,
+    pub(crate) isolated_parts: Gauge,
 }
 
 impl Telemetry {
@@ -137,6 +138,7 @@
             ("waiting", "Requests that wait here", &gauges.waiting),
             ("connections", "Open connections of callers", &gauges.connections),
             ("buffered_bytes", "Bytes of request bodies that are held", &gauges.buffered_bytes),
+            ("isolated_parts", "Parts of prompts that are refused", &gauges.isolated_parts),
         ];
         for (name, help, gauge) in named {
             registry.register(name, help, gauge.clone());
--- a/lib/tests/test_gateway_beliefs.rs
+++ b/lib/tests/test_gateway_beliefs.rs
@@ -271,7 +271,8 @@
     for peer in 2..=6 {
         send_summary(&mut gateway(peer), peer as u8, &mut host, at(1));
     }
-    let receiver = SummaryTarget { address: address(3), role: PeerRole::Member };
+    let receiver =
+        SummaryTarget { address: address(3), role: PeerRole::Member, is_returned: false };
     let summaries: Vec<PeerSummary> =
         (0..40).map(|_| host.peer_summary(at(2)).for_peer(receiver)).collect();
     let acks_receiver =
--- a/lib/tests/test_gateway_logs.rs
+++ b/lib/tests/test_gateway_logs.rs
@@ -53,6 +53,7 @@
 #[test_case(Setting { find: "\"peer_port\":7000", put: "\"peer_port\":0", says: "peer_port is 0" } ; "no port")]
 #[test_case(Setting { find: "\"grace_s\":8", put: "\"grace_s\":-1", says: "grace_s" } ; "a negative time")]
 #[test_case(Setting { find: "\"unused_ms\":9000", put: "\"unused_ms\":0", says: "unused_ms" } ; "no time for unused memory")]
+#[test_case(Setting { find: "\"host\":\"h\"", put: "\"host\":\"h\",\"trusted_parts\":[\"\"]", says: "trusted_parts" } ; "an empty id of a part")]
 #[test_case(Setting { find: "\"repeat_ratio\":0.2", put: "\"repeat_ratio\":-0.2", says: "repeat_ratio" } ; "a negative ratio")]
 #[test_case(Setting { find: "10.0.0.9:80", put: "store.example:80", says: "socket address syntax" } ; "a host name instead of an address")]
 #[test_case(Setting { find: "\"host\"", put: "\"hots\":1,\"host\"", says: "hots" } ; "an unknown field")]
