gateway: weigh crashes, so that chance isolates no sound part

Cause: three crashes under a seldom used part were enough, and a request whose answer had been written for up to 0.5 s counted as much as one of which nothing had come. Change: a crash counts half under a request of which an event had come, and a new part is isolated at the weight of three and a half crashes in place of three. Why it works: four crashes that begin nothing are as before for a part that crashes servers, one more than three; a sound part has to meet one more of them by chance.

--- a/lib/src/coordination/gateway/isolation.rs
+++ b/lib/src/coordination/gateway/isolation.rs
@@ -164,8 +164,15 @@
 }
 
 impl Gateway {
-    /// Records that the server of `dispatch` crashed while it may have begun to answer `request`.
-    pub fn record_crash(&mut self, now: Moment, request: &GatewayRequest, dispatch: &Dispatch) {
+    /// Records that the server of `dispatch` crashed while it may just have begun to answer `request`;
+    /// `has_begun` if an event had come.
+    pub fn record_crash(
+        &mut self,
+        now: Moment,
+        request: &GatewayRequest,
+        dispatch: &Dispatch,
+        has_begun: bool,
+    ) {
         let parts = request.parts.as_slice();
         if parts.is_empty() {
             return;
@@ -183,6 +190,7 @@
             server: short_digest(&[server.id().as_bytes(), &server.born().to_le_bytes()]),
             customer,
             at: now.into(),
+            has_begun,
             parts: parts[..parts.len().min(MAX_REPORT_PARTS)].to_vec(),
         };
         self.isolations.evidence.record_crash(now, report, true);
--- a/lib/src/protocol/gateway/crash_wire.rs
+++ b/lib/src/protocol/gateway/crash_wire.rs
@@ -31,6 +31,7 @@
     server: u32,
     customer: u32,
     age_ms: u32,
+    has_begun: bool,
     parts: Vec<u64>,
 }
 
@@ -57,6 +58,7 @@
             server: notice.report.server,
             customer: notice.report.customer,
             age_ms: millis(notice.age),
+            has_begun: notice.report.has_begun,
             parts: notice.report.parts.iter().map(|part| part.0).collect(),
         });
         // Rounds up, so that an answer never seems newer than it is.
@@ -75,10 +77,10 @@
             let age = duration(report.age_ms);
             let parts = report.parts.into_iter().take(MAX_REPORT_PARTS).map(PartId).collect();
             let (id, service, server) = (report.id, report.service, report.server);
-            let customer = report.customer;
+            let (customer, has_begun) = (report.customer, report.has_begun);
             // The receiver sets the time by its own clock.
             let at = EventTime::from(Moment(0));
-            let report = CrashReport { id, service, server, customer, at, parts };
+            let report = CrashReport { id, service, server, customer, at, has_begun, parts };
             CrashNotice { report, age }
         });
         let answers = wire.answers.into_iter().take(MAX_NEWS_ANSWERS).map(|answer| AnswerNotice {
--- a/lib/src/state/gateway/crash_evidence.rs
+++ b/lib/src/state/gateway/crash_evidence.rs
@@ -14,16 +14,21 @@
 use crate::state::Moment;
 use crate::state::PartId;
 
-/// The crashes after which a part is isolated under which nothing was ever answered.
-const CRASHES_OF_NEW_PART: u32 = 3;
-/// The crashes since the last answer after which a part is isolated that was sound before.
-const CRASHES_OF_ANSWERED_PART: u32 = 5;
-/// The crashes for which a part that was never answered stays isolated, or is isolated again after its
-/// isolation has lapsed. Those that another part explains do not count, so two parts that crash the same
+/// The weight of a crash under a request of which no event had come, and of one that had just begun: its
+/// answer was written for a while without a crash.
+const FULL_WEIGHT: u32 = 2;
+const BEGUN_WEIGHT: u32 = 1;
+/// The weight at which a part is isolated under which nothing was ever answered. Three crashes may meet
+/// the same seldom used part by chance while servers crash for other reasons.
+const WEIGHT_OF_NEW_PART: u32 = 3 * FULL_WEIGHT + BEGUN_WEIGHT;
+/// The weight since the last answer at which a part is isolated that was sound before.
+const WEIGHT_OF_ANSWERED_PART: u32 = 5 * FULL_WEIGHT;
+/// The weight for which a part that was never answered stays isolated, or is isolated again after its
+/// isolation has lapsed. Crashes that another part explains do not count, so two parts that crash the same
 /// servers both stay isolated as long as each has a crash of its own.
-const CRASHES_OF_KNOWN_PART: u32 = 1;
-/// The crashes from which a request is not sent again after its server crashed.
-const CRASHES_OF_SUSPECTED_PART: u32 = 2;
+const WEIGHT_OF_KNOWN_PART: u32 = BEGUN_WEIGHT;
+/// The weight from which a request is not sent again after its server crashed.
+const WEIGHT_OF_SUSPECTED_PART: u32 = FULL_WEIGHT + BEGUN_WEIGHT;
 /// Reports on one server within this time are on one crash.
 const SAME_CRASH: Duration = Duration::from_secs(1);
 /// Crashes within this time may have a cause in common that is no prompt, and count once.
@@ -90,6 +95,8 @@
     /// The digest of the customer's name; 0 without a customer.
     pub customer: u32,
     pub at: EventTime,
+    /// Whether an event of the answer had come.
+    pub has_begun: bool,
     /// The shared parts of the prompt, in its order.
     pub parts: Vec<PartId>,
 }
@@ -166,6 +173,7 @@
 /// A request that a crash may be due to.
 #[derive(Debug)]
 struct Suspicion {
+    weight: u32,
     position: usize,
     learned: Moment,
     customers: BTreeSet<u32>,
@@ -208,7 +216,8 @@
     /// use wasabicrank_lib::state::{CrashEvidence, CrashReport, EventTime, Moment, PartId};
     /// let mut evidence = CrashEvidence::default();
     /// let (at, parts) = (EventTime::from(Moment(0)), vec![PartId(1)]);
-    /// let report = CrashReport { id: 1, service: 1, server: 1, customer: 1, at, parts };
+    /// let has_begun = false;
+    /// let report = CrashReport { id: 1, service: 1, server: 1, customer: 1, at, has_begun, parts };
     /// assert!(evidence.record_crash(Moment(0), report.clone(), true));
     /// assert!(!evidence.record_crash(Moment(9), report, false));
     /// ```
@@ -281,7 +290,7 @@
     pub fn is_suspected(&self, service: u32, parts: &[PartId]) -> bool {
         service_parts(service, parts).into_iter().any(|part| {
             let tally = self.tally(part, |_| true);
-            tally.crashes >= CRASHES_OF_SUSPECTED_PART.min(self.crashes_needed(part))
+            tally.weight >= WEIGHT_OF_SUSPECTED_PART.min(self.weight_needed(part))
         })
     }
 
@@ -339,16 +348,18 @@
     /// Of parts that explain as many, one that was never answered goes first, and then the one further
     /// back in the prompts: fewer requests share it.
     fn best_explanation(&self, now: Moment) -> Option<(ServicePart, Tally)> {
-        let is_settled = |suspicion: &Suspicion| now.since(suspicion.learned) >= SETTLE_TIME;
+        let is_settled = |part: &ServicePart, suspicion: &Suspicion| {
+            self.lapsed.contains_key(part) || now.since(suspicion.learned) >= SETTLE_TIME
+        };
         let candidates: BTreeSet<ServicePart> =
             self.unexplained().flat_map(|crash| crash.suspects.keys().copied()).collect();
         candidates
             .into_iter()
             .filter(|part| !self.trusted.contains(&part.part))
-            .map(|part| (part, self.tally(part, is_settled)))
-            .filter(|(part, tally)| tally.crashes >= self.crashes_needed(*part))
+            .map(|part| (part, self.tally(part, |suspicion| is_settled(&part, suspicion))))
+            .filter(|(part, tally)| tally.weight >= self.weight_needed(*part))
             .max_by_key(|(part, tally)| {
-                (tally.crashes, self.last_answer(*part).is_none(), tally.position, *part)
+                (tally.weight, self.last_answer(*part).is_none(), tally.position, *part)
             })
     }
 
@@ -368,15 +379,15 @@
         tally
     }
 
-    fn crashes_needed(&self, part: ServicePart) -> u32 {
+    fn weight_needed(&self, part: ServicePart) -> u32 {
         let is_answered = self.last_answer(part).is_some();
         let was_isolated = self.isolated.contains_key(&part) && !is_answered;
         if was_isolated || self.lapsed.contains_key(&part) {
-            CRASHES_OF_KNOWN_PART
+            WEIGHT_OF_KNOWN_PART
         } else if is_answered {
-            CRASHES_OF_ANSWERED_PART
+            WEIGHT_OF_ANSWERED_PART
         } else {
-            CRASHES_OF_NEW_PART
+            WEIGHT_OF_NEW_PART
         }
     }
 
@@ -427,10 +438,13 @@
                 service_parts(report.service, &report.parts).into_iter().enumerate()
             {
                 let suspicion = crash.suspects.entry(part).or_insert_with(|| Suspicion {
+                    weight: 0,
                     position,
                     learned: *learned,
                     customers: BTreeSet::new(),
                 });
+                let weight = if report.has_begun { BEGUN_WEIGHT } else { FULL_WEIGHT };
+                suspicion.weight = suspicion.weight.max(weight);
                 suspicion.position = suspicion.position.max(position);
                 suspicion.learned = suspicion.learned.min(*learned);
                 suspicion.customers.insert(report.customer);
@@ -483,26 +497,33 @@
 #[derive(Debug)]
 struct Tally {
     crashes: u32,
+    weight: u32,
     position: usize,
     customers: BTreeSet<u32>,
-    /// The first crash of the last group that counts once.
-    group: Option<EventTime>,
+    /// The first crash of the last group that counts once, and the weight of the group.
+    group: Option<(EventTime, u32)>,
     last_crash: EventTime,
 }
 
 impl Default for Tally {
     fn default() -> Tally {
         let last_crash = EventTime(i64::MIN);
-        Tally { crashes: 0, position: 0, customers: BTreeSet::new(), group: None, last_crash }
+        let customers = BTreeSet::new();
+        Tally { crashes: 0, weight: 0, position: 0, customers, group: None, last_crash }
     }
 }
 
 impl Tally {
     fn add(&mut self, at: EventTime, suspicion: &Suspicion) {
-        if self.group.is_none_or(|group| at.since(group) >= COMMON_CAUSE) {
-            self.crashes += 1;
-            self.group = Some(at);
-        }
+        let (first, counted) = match self.group {
+            Some((first, counted)) if at.since(first) < COMMON_CAUSE => (first, counted),
+            _ => {
+                self.crashes += 1;
+                (at, 0)
+            }
+        };
+        self.weight += suspicion.weight.saturating_sub(counted);
+        self.group = Some((first, counted.max(suspicion.weight)));
         self.position = self.position.max(suspicion.position);
         self.customers.extend(&suspicion.customers);
         self.last_crash = self.last_crash.max(at);
--- a/lib/src/transport/gateway/crash_check.rs
+++ b/lib/src/transport/gateway/crash_check.rs
@@ -51,7 +51,9 @@
         }
         self.log_crash(dispatch, first_event);
         let now = self.ctx.now();
-        self.ctx.gateway.borrow_mut().record_crash(now, &self.request.borrow(), dispatch);
+        let request = self.request.borrow();
+        let has_begun = first_event.is_some();
+        self.ctx.gateway.borrow_mut().record_crash(now, &request, dispatch, has_begun);
         self.ctx.urgent_summary.notify_one();
     }
 
