--- a/lib/src/transport/gateway/exchange.rs
+++ b/lib/src/transport/gateway/exchange.rs
@@ -180,7 +180,7 @@
         strip_connection_fields(&mut head.headers);
         close_if_stopping(&exchange.ctx, &mut head.headers);
         tokio::task::spawn_local(super::event_relay::relay_stream(exchange, *self, chunks));
-        Response::from_parts(head, ResponseBody::Streamed(receiver))
+        Response::from_parts(head, ResponseBody::streamed(receiver))
     }
 }
 
--- a/lib/src/transport/gateway/response_body.rs
+++ b/lib/src/transport/gateway/response_body.rs
@@ -29,7 +29,38 @@
 impl std::error::Error for ResponseAborted {}
 
 /// The receiving end of a streamed response.
-pub(crate) type ChunkReceiver = mpsc::Receiver<Result<Bytes, ResponseAborted>>;
+#[derive(Debug)]
+pub(crate) struct ChunkReceiver {
+    chunks: mpsc::Receiver<Result<Bytes, ResponseAborted>>,
+    /// Whether a chunk was returned that may not have been sent yet.
+    is_unsent: bool,
+    is_aborted: bool,
+}
+
+impl ChunkReceiver {
+    /// The HTTP library closes the connection at an abort, with what it has not sent. It sends all that it
+    /// has when no more is ready, so the abort comes after one such pause.
+    fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, ResponseAborted>>> {
+        if self.is_aborted {
+            return Poll::Ready(Some(Err(ResponseAborted)));
+        }
+        match self.chunks.poll_recv(cx) {
+            Poll::Ready(Some(Err(ResponseAborted))) if self.is_unsent => {
+                self.is_aborted = true;
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            Poll::Ready(chunk) => {
+                self.is_unsent = true;
+                Poll::Ready(chunk)
+            }
+            Poll::Pending => {
+                self.is_unsent = false;
+                Poll::Pending
+            }
+        }
+    }
+}
 
 /// The body of a response.
 #[derive(Debug)]
@@ -44,6 +75,11 @@
     pub(crate) fn whole(bytes: impl Into<Bytes>) -> ResponseBody {
         ResponseBody::Whole(Full::new(bytes.into()))
     }
+
+    pub(crate) fn streamed(chunks: mpsc::Receiver<Result<Bytes, ResponseAborted>>) -> ResponseBody {
+        let (is_unsent, is_aborted) = (false, false);
+        ResponseBody::Streamed(ChunkReceiver { chunks, is_unsent, is_aborted })
+    }
 }
 
 impl Body for ResponseBody {
@@ -59,7 +95,7 @@
                 Pin::new(body).poll_frame(cx).map_err(|never| match never {})
             }
             ResponseBody::Streamed(chunks) => {
-                chunks.poll_recv(cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+                chunks.poll_chunk(cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
             }
         }
     }
