node: give a completion up after three engines broke off without a token

Cause: a completion whose engine breaks off is placed again until its deadline or the retry budget ends, so a prompt that crashes engines goes through the fleet. Change: after three engines in a row that break off without a token, the completion fails (`target_failed`). A token that is forwarded begins the count again; refusals, pauses and engines that are gone before they begin don't count. Why it works: an answer that makes progress goes on as before; one that makes none costs three engines. What prompts have in common isn't looked at here; it remains open.

--- a/cli/tests/test_failures_streams.rs
+++ b/cli/tests/test_failures_streams.rs
@@ -34,6 +34,9 @@
 
 const ENGINES: usize = 4;
 
+/// The most engines at which one completion may break off without a token.
+const MAX_LOST_ENGINES: usize = 3;
+
 /// The memory of one engine, in tokens, which is less than the long prompt needs.
 const ENGINE_MEMORY_TOKENS: u32 = 60_000;
 
@@ -147,6 +150,21 @@
     assert!(fleet.wait_idle(RELEASE_TIMEOUT).await.is_some(), "memory is still held");
 }
 
+// Guards against the cause of inc1 (BUDGET) at the own interface: a prompt that ends the stream of each
+// engine that begins to answer it reaches one engine after the other.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn test_prompt_that_ends_all_streams_reaches_few_engines() {
+    let fleet = start_fleet(3 * ENGINES).await;
+    let faults = StreamFaults { gap_every: 1, cut_after: Some(1), ..NO_FAULTS };
+    fleet.engines.iter().for_each(|engine| engine.engine.set_stream_faults(faults));
+    let mut crowd = Crowd::default();
+    crowd.send(&fleet.callers(), &streams(1));
+    let stories = crowd.finish().await;
+    assert!(matches!(stories[0].end, CompletionEnd::Refused(_)), "{:?}", stories[0].end);
+    let reached = fleet.engines.iter().filter(|engine| engine.engine.counts().accepted > 0).count();
+    assert!(reached <= MAX_LOST_ENGINES, "{reached} engines, came back {}", stories[0].came_back);
+}
+
 // Guards against the cause of inc1 at the own interface: a paused engine was left before another one
 // had granted an attempt, and the answer was refused midway.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
--- a/lib/src/coordination/node/attempt_events.rs
+++ b/lib/src/coordination/node/attempt_events.rs
@@ -25,6 +25,10 @@
 use crate::state::RequestId;
 use crate::state::TargetState;
 
+/// The number of engines that break off in a row, without a token, after which a completion is not placed
+/// again: its prompt may be the cause.
+const MAX_FRUITLESS_MOVES: u32 = 3;
+
 impl Node {
     /// Handles an event on the stream of an attempt. Events of earlier attempts are ignored.
     pub(super) fn on_stream(&mut self, now: Moment, report: StreamReport) {
@@ -106,6 +110,7 @@
             Phase::Group(group) => group.stream.as_ref().map(|stream| stream.engine.clone()),
             Phase::AwaitingGrant(_) => None,
         };
+        running.fruitless_moves = 0;
         let is_first = running.first_token.is_none();
         running.first_token.get_or_insert(now);
         if let Some(engine) = engine.filter(|_| is_first) {
@@ -168,15 +173,38 @@
     ) {
         self.drop_successor(now, attempt.request);
         self.leave_engine(now, attempt, streaming, cause);
+        if self.count_fruitless_move(attempt.request, cause) >= MAX_FRUITLESS_MOVES {
+            self.detach_attempt(now, attempt.request);
+            self.refuse_request(now, attempt.request, Reason::TargetFailed, None);
+            return;
+        }
         self.retry_request(now, attempt.request);
     }
 
-    /// Places a request again if the retry budget allows it, or refuses it.
-    pub(super) fn retry_request(&mut self, now: Moment, id: RequestId) {
-        // The attempt is already finished, so ending the request must not return its grant again.
+    /// Forgets the finished attempt of a request, so that its end does not return the grant again.
+    fn detach_attempt(&mut self, now: Moment, id: RequestId) {
         if let Some(running) = self.running.get_mut(id) {
             running.phase = Phase::AwaitingGrant(PendingGrant::unplaced(&self.host, now));
         }
+    }
+
+    /// Counts a move away from an engine that broke off; returns how many there were since the last token.
+    fn count_fruitless_move(&mut self, id: RequestId, cause: MoveCause) -> u32 {
+        let Some(running) = self.running.get_mut(id) else { return 0 };
+        let is_break = match cause {
+            MoveCause::ConnectionLost | MoveCause::StreamBroken => true,
+            MoveCause::EngineRefused
+            | MoveCause::ConnectionRefused
+            | MoveCause::Silent
+            | MoveCause::EngineGone => false,
+        };
+        running.fruitless_moves += u32::from(is_break);
+        running.fruitless_moves
+    }
+
+    /// Places a request again if the retry budget allows it, or refuses it.
+    pub(super) fn retry_request(&mut self, now: Moment, id: RequestId) {
+        self.detach_attempt(now, id);
         match self.retries.take_retry(now) {
             Ok(()) => self.place(now, id, None),
             Err(wait) => self.refuse_request(now, id, Reason::RetryBudget, Some(wait)),
--- a/lib/src/coordination/node/completions.rs
+++ b/lib/src/coordination/node/completions.rs
@@ -165,6 +165,7 @@
             sought: None,
             phase: Phase::AwaitingGrant(unplaced),
             excluded: Vec::new(),
+            fruitless_moves: 0,
             maybe_ran: false,
             first_token: None,
         });
--- a/lib/src/coordination/node/running.rs
+++ b/lib/src/coordination/node/running.rs
@@ -36,6 +36,8 @@
     pub(super) sought: Option<Moment>,
     /// Engines that denied or failed this completion.
     pub(super) excluded: Vec<EngineName>,
+    /// The number of engines that broke off without a token since the last one that was forwarded.
+    pub(super) fruitless_moves: u32,
     /// Whether any attempt may have run at an engine.
     pub(super) maybe_ran: bool,
     /// When the first token arrived.
