gateway: tell hosts that start of isolated parts first

What callers saw: nothing yet. A trial of the soak with prompts that crash engines showed hosts that had started again and sent such a prompt on, though another host refused it. Cause: a message has room for the newest 24 reports. Each crash has a dozen, most on requests that happened to be at the engine, so a host that started got none on the part itself. Change: reports on isolated parts go before others, and a message has room for 40. Why it works: a host needs only the few reports by which a part is isolated; the others clear nothing.

--- a/lib/src/coordination/gateway/isolation.rs
+++ b/lib/src/coordination/gateway/isolation.rs
@@ -32,10 +32,10 @@
 /// How often the isolated parts are worked out again while the evidence stays the same but gets older.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(50);
 /// The most reports and answers in one message.
-pub(crate) const MAX_NEWS_REPORTS: usize = 24;
+pub(crate) const MAX_NEWS_REPORTS: usize = 40;
 pub(crate) const MAX_NEWS_ANSWERS: usize = 64;
 /// The most parts in one report.
-pub(crate) const MAX_REPORT_PARTS: usize = 32;
+pub(crate) const MAX_REPORT_PARTS: usize = 16;
 /// The age that is added to an answer in a message that acknowledges none of this host's: it may have
 /// been in transit for long.
 const UNKNOWN_TRANSIT: Duration = Duration::from_secs(15);
@@ -143,13 +143,16 @@
         let is_fresh = |at: Moment| now.since(at) <= FRESH_TIME;
         let notice =
             |report: &CrashReport| CrashNotice { age: report.at.age(now), report: report.clone() };
-        let (fresh, other): (Vec<_>, Vec<_>) = self
+        let (fresh, known): (Vec<_>, Vec<_>) = self
             .evidence
             .reports()
             .rev()
             .partition(|known| known.is_own && is_fresh(known.learned));
-        let mut reports: Vec<CrashNotice> =
-            fresh.iter().chain(&other).map(|known| notice(&known.report)).collect();
+        // A host that starts needs the reports on isolated parts most.
+        let (isolating, other): (Vec<_>, Vec<_>) =
+            known.into_iter().partition(|known| self.evidence.supports_isolation(&known.report));
+        let known = fresh.iter().chain(&isolating).chain(&other);
+        let mut reports: Vec<CrashNotice> = known.map(|known| notice(&known.report)).collect();
         reports.truncate(MAX_NEWS_REPORTS);
         let own = self.told.iter().filter(|(_, (_, told))| is_fresh(*told));
         let mut answers: Vec<AnswerNotice> = own
--- a/lib/src/state/gateway/crash_evidence.rs
+++ b/lib/src/state/gateway/crash_evidence.rs
@@ -236,12 +236,15 @@
 
     /// Drops the oldest report that no isolation is due to.
     fn drop_report(&mut self) {
-        let supports = |known: &KnownReport| {
-            let parts = service_parts(known.report.service, &known.report.parts);
-            parts.into_iter().any(|part| self.isolated.contains_key(&part))
-        };
-        let position = self.reports.iter().position(|known| !supports(known)).unwrap_or(0);
-        self.reports.remove(position);
+        let position =
+            self.reports.iter().position(|known| !self.supports_isolation(&known.report));
+        self.reports.remove(position.unwrap_or(0));
+    }
+
+    /// Returns whether a report is on a crash under an isolated part.
+    pub(crate) fn supports_isolation(&self, report: &CrashReport) -> bool {
+        let parts = service_parts(report.service, &report.parts);
+        parts.into_iter().any(|part| self.isolated.contains_key(&part))
     }
 
     /// Records that this host received an answer under `parts`, which began at `began` and went on for
--- a/lib/tests/test_gateway_isolation.rs
+++ b/lib/tests/test_gateway_isolation.rs
@@ -164,6 +164,12 @@
     hosts.run(4_000);
     hosts.down = vec![3];
     hosts.crash_four();
+    // Servers also crash for other reasons, under more requests than one message reports.
+    for crash in 0..200 {
+        let parts = [PartId(1_000 + crash), PartId(99)];
+        hosts.crash(0, &format!("y-{}", crash / 20), &parts);
+        hosts.run(50 * u64::from(crash % 20 == 0));
+    }
     hosts.run(5_000);
     assert_eq!(hosts.refusing(), count - 1);
     hosts.down.clear();
