soak: prompts with a part that crashes engines

Change: callers send parts of prompts, and in every second seed one in 25 streams has a part that crashes the engine that begins to answer it. Checked is the platform's bound: at most three such requests reach engines later than 3 s after the fifth crash, from hosts that were undisturbed for 3 s.

--- a/cli/tests/test_soak.rs
+++ b/cli/tests/test_soak.rs
@@ -9,7 +9,7 @@
 use wasabicrank_soak::run;
 
 /// The seeds, which run concurrently: a few arbitrary ones, and each that ever failed.
-const SEEDS: [u64; 5] = [1, 2, 3, 23, 46];
+const SEEDS: [u64; 6] = [1, 2, 3, 6, 23, 46];
 
 /// The time during which faults are injected; the fleet then has twelve seconds to recover.
 const FAULT_SPAN: Duration = Duration::from_secs(8);
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::crashing::draw_parts;
 use crate::evidence::Evidence;
 use crate::evidence::Kind;
 use crate::evidence::Outcome;
@@ -57,13 +58,20 @@
     pub(crate) kind: Option<Kind>,
     pub(crate) path: String,
     pub(crate) key: String,
+    /// The parts of its prompt.
+    pub(crate) parts: String,
     /// When the caller cancels it, counted from sending.
     pub(crate) cancel_after: Option<Duration>,
 }
 
 impl CallerRequest {
     /// Draws a request of a random kind.
-    pub(crate) fn draw(random: &mut SmallRng, id: String, key: String) -> CallerRequest {
+    pub(crate) fn draw(
+        random: &mut SmallRng,
+        id: String,
+        key: String,
+        has_crashing: bool,
+    ) -> CallerRequest {
         let all: u32 = WEIGHTS.iter().map(|(_, weight)| weight).sum();
         let mut left = random.random_range(0..all);
         let mut kind = Kind::Often;
@@ -77,7 +85,8 @@
         let is_cancelled = random.random_range(0..CANCEL_ODDS) == 0;
         let cancel_after = is_cancelled.then(|| Duration::from_millis(random.random_range(5..400)));
         let path = format!("/{}/{}", kind.route(), random.random_range(0..100));
-        CallerRequest { id, kind: Some(kind), path, key, cancel_after }
+        let parts = draw_parts(random, &id, has_crashing);
+        CallerRequest { id, kind: Some(kind), path, key, parts, cancel_after }
     }
 
     fn timeout(&self) -> Duration {
@@ -165,6 +174,7 @@
         ("authorization", format!("Bearer {}", call.key)),
         ("x-model", "m".to_owned()),
         ("x-token-usage", tokens.to_owned()),
+        ("x-prompt-prefix", call.parts.clone()),
         ("x-tenant", "forged".to_owned()),
     ];
     for (name, value) in fields {
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use crate::crashing::sent_after_crashes;
 use crate::evidence::Kind;
 use crate::evidence::Millis;
 use crate::evidence::Observations;
@@ -60,6 +61,7 @@
         violations.extend(self.aborted_by_stops(&runs));
         violations.extend(self.not_recovered());
         violations.extend(ignored_pauses(self.observations));
+        violations.extend(sent_after_crashes(self.observations));
         violations
     }
 
--- a/soak/src/evidence.rs
+++ b/soak/src/evidence.rs
@@ -104,6 +104,8 @@
     pub(crate) at: Millis,
     /// Whether the server declined the request: it was not executed and never will be.
     pub(crate) is_declined: bool,
+    /// Whether its prompt crashes the server.
+    pub(crate) is_crashing: bool,
     /// The pause that the server asked for when it declined the request.
     pub(crate) pause: Option<Millis>,
     /// The holder of the request's reservations, if it has any.
@@ -155,6 +157,9 @@
     pub(crate) rewinds: Vec<Millis>,
     /// Planned stops: the host, its start count, when it was signalled, and when it exited, if in time.
     pub(crate) stops: Vec<(usize, u64, Millis, Option<Millis>)>,
+    /// The engines that crash now because of a prompt, and when such crashes happened.
+    pub(crate) crashing: Vec<String>,
+    pub(crate) crashes: Vec<Millis>,
     pub(crate) violations: Vec<String>,
 }
 
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -210,7 +210,7 @@
         Ok(())
     }
 
-    async fn crash_server(&self, position: usize, span: Duration) -> io::Result<()> {
+    pub(crate) async fn crash_server(&self, position: usize, span: Duration) -> io::Result<()> {
         let _disturbance = Disturbance::begin(&self.evidence, Scope::Server(position));
         let server = self.server(position);
         self.record_link_fault(&server, span);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -8,6 +8,7 @@
 mod behavior;
 mod caller;
 mod checks;
+mod crashing;
 mod evidence;
 mod faults;
 mod fleet;
@@ -145,5 +146,7 @@
     tasks.spawn(async move { probing.probe().await });
     let watching = world.clone();
     tasks.spawn(async move { watching.watch_memory().await });
+    let crashing = world.clone();
+    tasks.spawn(crashing.crash_engines());
     tasks
 }
--- a/soak/src/server.rs
+++ b/soak/src/server.rs
@@ -27,6 +27,8 @@
 use wasabicrank_testutils::server::lock;
 
 use crate::behavior::Behavior;
+use crate::crashing::CRASH_DELAY;
+use crate::crashing::crashes_engine;
 use crate::evidence::Evidence;
 use crate::evidence::Kind;
 use crate::evidence::OrderSeen;
@@ -178,6 +180,9 @@
         let declined = is_full || pause.is_some() || self.behavior() == Behavior::Sheds;
         let missing = if declined { None } else { self.missing_helper(&head.headers) };
         let is_declined = declined || missing.is_some();
+        let is_stream = Kind::of_path(head.uri.path()).is_some_and(Kind::is_stream);
+        let is_crashing =
+            is_stream && field("x-prompt-prefix").is_some_and(|parts| crashes_engine(&parts));
         let at = self.evidence.now();
         self.evidence.observations().runs.push(Run {
             request: id.clone(),
@@ -189,6 +194,7 @@
             patience: field("x-deadline-ms").and_then(|text| text.parse().ok()),
             at,
             is_declined,
+            is_crashing,
             pause,
             holder: helpers(&head.headers).into_iter().find_map(|(_, name)| holder(&name?)),
         });
@@ -209,7 +215,8 @@
             }
             return self.endless_response(&id, using);
         }
-        match Kind::of_path(head.uri.path()).is_some_and(Kind::is_stream) {
+        match is_stream {
+            true if is_crashing => self.crash(&id, using),
             true => self.stream(&id, field("last-event-id"), using),
             false => self.call(&id, using).await,
         }
@@ -284,6 +291,19 @@
         self.signed(shown, ResponseBody::Pieces(receiver))
     }
 
+    /// Begins to answer and crashes.
+    fn crash(self: Arc<Self>, id: &str, using: RequestGuard) -> Response<ResponseBody> {
+        let (pieces, receiver) = mpsc::channel(1);
+        let state = self.clone();
+        tokio::spawn(async move {
+            let _using = using;
+            sleep(CRASH_DELAY).await;
+            state.evidence.observations().crashing.push(state.id.clone());
+            pieces.closed().await;
+        });
+        self.signed(id, ResponseBody::Pieces(receiver))
+    }
+
     /// Returns a response whose signature names this server.
     fn signed(&self, id: &str, answer: ResponseBody) -> Response<ResponseBody> {
         let mut response = Response::new(answer);
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -59,6 +59,8 @@
     pub(crate) hosts: Vec<Host>,
     pub(crate) customers: HashMap<String, String>,
     pub(crate) servers: Mutex<Vec<Arc<Server>>>,
+    /// Whether some prompts crash engines.
+    has_crashing: bool,
     registry: Registry,
     pub(crate) store: Store,
     _store_listening: Listening,
@@ -89,6 +91,7 @@
             hosts,
             customers: keys.iter().cloned().collect(),
             servers: Mutex::default(),
+            has_crashing: setup.seed.is_multiple_of(2),
             registry: Registry::default(),
             store,
             _store_listening: listening,
@@ -198,7 +201,8 @@
             }
             let Some(open) = connection.take() else { continue };
             let key = self.draw_key(&mut random);
-            let request = CallerRequest::draw(&mut random, self.request_id(), key);
+            let request =
+                CallerRequest::draw(&mut random, self.request_id(), key, self.has_crashing);
             connection = open.send(request, &self.evidence).await;
         }
     }
@@ -217,6 +221,7 @@
                         kind: None,
                         path,
                         key,
+                        parts: String::new(),
                         cancel_after: None,
                     };
                     Connection::open(host.target()).await?.send(request, &self.evidence).await
