gateway: name what hosts announce of answers

Cause: read as a newcomer, "told" and "tell" named neither who sends nor what. Change: answers under suspected parts are announced; names and comments only. Result: test_crash_evidence and test_gateway_isolation pass as before.

--- a/lib/src/coordination/gateway/isolation.rs
+++ b/lib/src/coordination/gateway/isolation.rs
@@ -1,4 +1,5 @@
-//! Requests with parts that crash servers: they are refused, and hosts tell each other of crashes.
+//! Requests with parts that crash servers: they are refused, and hosts exchange
+//! reports on crashes.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -27,7 +28,7 @@
     [Duration::ZERO, Duration::from_millis(400), Duration::from_millis(1_200)];
 /// The most rounds that wait.
 const MAX_ROUNDS: usize = 16;
-/// The longest delay before a host tells of an answer; another host may do so meanwhile.
+/// The longest delay before a host announces an answer; another host may do so meanwhile.
 const MAX_ANSWER_DELAY: Duration = Duration::from_millis(150);
 /// How often the isolated parts are worked out again while the evidence stays the same but gets older.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(50);
@@ -88,15 +89,15 @@
     }
 }
 
-/// What this host knows of crashes, and what it has to tell others.
+/// What this host knows of crashes, and what it has to announce to others.
 #[derive(Debug, Default)]
 pub(crate) struct Isolations {
     pub(crate) evidence: CrashEvidence,
     last_report: u64,
-    /// The answers that this host has told of, and when.
-    told: HashMap<ServicePart, (EventTime, Moment)>,
-    /// When this host tells of the answers that no host has told of.
-    tell_at: Option<Moment>,
+    /// The answers that this host has announced, and when.
+    announced: HashMap<ServicePart, (EventTime, Moment)>,
+    /// When this host announces the answers that no host has announced.
+    announce_at: Option<Moment>,
     /// When hosts of other cells are sent the next messages.
     rounds: VecDeque<Moment>,
     /// When the isolated parts were worked out last; `None` if the evidence has changed since.
@@ -110,7 +111,7 @@
         if self.reviewed.is_some_and(|at| now.since(at) < REVIEW_INTERVAL) {
             return;
         }
-        self.tell_answers(now, delay);
+        self.announce_answers(now, delay);
         self.reviewed = Some(now);
         self.changes.extend(self.evidence.review(now));
     }
@@ -129,21 +130,21 @@
         self.rounds.len() < waiting
     }
 
-    /// Tells of this host's answers that no host has told of, after a delay.
-    fn tell_answers(&mut self, now: Moment, delay: impl FnOnce() -> Duration) {
-        self.told.retain(|_, (_, told)| now.since(*told) <= FRESH_TIME);
-        let untold = self.evidence.untold_answers();
-        if untold.is_empty() {
-            self.tell_at = None;
+    /// Announces this host's answers that no host has announced, after a delay.
+    fn announce_answers(&mut self, now: Moment, delay: impl FnOnce() -> Duration) {
+        self.announced.retain(|_, (_, announced)| now.since(*announced) <= FRESH_TIME);
+        let unannounced = self.evidence.unannounced_answers();
+        if unannounced.is_empty() {
+            self.announce_at = None;
             return;
         }
-        if *self.tell_at.get_or_insert_with(|| now + delay()) > now {
+        if *self.announce_at.get_or_insert_with(|| now + delay()) > now {
             return;
         }
-        self.tell_at = None;
-        for (part, began) in untold.into_iter().take(MAX_NEWS_ANSWERS) {
+        self.announce_at = None;
+        for (part, began) in unannounced.into_iter().take(MAX_NEWS_ANSWERS) {
             self.evidence.learn_answer(part, began);
-            self.told.insert(part, (began, now));
+            self.announced.insert(part, (began, now));
         }
         self.begin_rounds(now);
     }
@@ -163,14 +164,14 @@
         let known = fresh.iter().chain(&isolating).chain(&other);
         let mut reports: Vec<CrashNotice> = known.map(|known| notice(&known.report)).collect();
         reports.truncate(MAX_NEWS_REPORTS);
-        let own = self.told.iter().filter(|(_, (_, told))| is_fresh(*told));
+        let own = self.announced.iter().filter(|(_, (_, announced))| is_fresh(*announced));
         let mut answers: Vec<AnswerNotice> = own
             .map(|(part, (began, _))| AnswerNotice { part: *part, age: began.age(now) })
             .collect();
         let lasting = (fresh.len() + isolating.len()).min(MAX_NEWS_REPORTS);
         let fresh = (fresh.len().min(MAX_NEWS_REPORTS), answers.len());
-        let told = self.evidence.told();
-        answers.extend(told.map(|(part, began)| AnswerNotice { part, age: began.age(now) }));
+        let announced = self.evidence.announced();
+        answers.extend(announced.map(|(part, began)| AnswerNotice { part, age: began.age(now) }));
         answers.truncate(MAX_NEWS_ANSWERS);
         CrashNews { reports, answers, fresh, lasting }
     }
--- a/lib/src/coordination/gateway/peers.rs
+++ b/lib/src/coordination/gateway/peers.rs
@@ -44,7 +44,8 @@
 /// How long a starting host waits for its seeds before it reads the configuration: a live peer sends
 /// a summary within [`MAX_SUMMARY_INTERVAL`].
 const START_WAIT: Duration = Duration::from_millis(500);
-/// How many summaries tell all news to a host that started or was silent; single ones may be lost.
+/// How many summaries to a host that started or was silent have all reports on crashes; single ones may be
+/// lost.
 const RETURNED_SUMMARIES: u32 = 3;
 /// The maximum number of peers that are stored.
 const MAX_PEERS: usize = 4_096;
@@ -93,7 +94,8 @@
     cells: Cells,
     /// The hosts that have started and know few others.
     newcomers: Vec<Ipv4Addr>,
-    /// The hosts that started or were silent, with the number of summaries that still tell them all news.
+    /// The hosts that started or were silent, with the number of summaries to them that still have all
+    /// reports on crashes.
     returned: HashMap<Ipv4Addr, u32>,
     /// Until when the share of summaries to other cells that is due has been sent.
     outsiders_sent: Option<Moment>,
--- a/lib/src/state/gateway/crash_evidence.rs
+++ b/lib/src/state/gateway/crash_evidence.rs
@@ -196,8 +196,8 @@
     crashes: Vec<Crash>,
     /// The parts under which this host saw answers.
     answered: AnsweredParts,
-    /// The newest answers under suspected parts that hosts have told each other of.
-    told: HashMap<ServicePart, EventTime>,
+    /// The newest answers under suspected parts that hosts have announced.
+    announced: HashMap<ServicePart, EventTime>,
     isolated: BTreeMap<ServicePart, Isolation>,
     lapsed: HashMap<ServicePart, Moment>,
     trusted: BTreeSet<PartId>,
@@ -258,8 +258,8 @@
     /// Records that another host received an answer under a part.
     pub fn learn_answer(&mut self, part: ServicePart, began: EventTime) {
         if self.is_watched(part) {
-            let told = self.told.entry(part).or_insert(began);
-            *told = began.max(*told);
+            let announced = self.announced.entry(part).or_insert(began);
+            *announced = began.max(*announced);
         }
     }
 
@@ -394,9 +394,9 @@
         }
     }
 
-    /// Returns when the last answer under a part began that any host has told of.
+    /// Returns when the last answer under a part began that any host has announced.
     fn last_answer(&self, part: ServicePart) -> Option<EventTime> {
-        self.own_answer(part).max(self.told.get(&part).copied())
+        self.own_answer(part).max(self.announced.get(&part).copied())
     }
 
     fn own_answer(&self, part: ServicePart) -> Option<EventTime> {
@@ -459,9 +459,9 @@
             let is_isolated = |part: &ServicePart| self.isolated.contains_key(part);
             crash.is_explained = crash.suspects.keys().any(is_isolated);
         }
-        let mut told = std::mem::take(&mut self.told);
-        told.retain(|part, _| self.is_watched(*part));
-        self.told = told;
+        let mut announced = std::mem::take(&mut self.announced);
+        announced.retain(|part, _| self.is_watched(*part));
+        self.announced = announced;
     }
 
     /// Returns the known reports.
@@ -469,13 +469,13 @@
         self.reports.iter()
     }
 
-    /// Returns the newest answers under suspected parts that hosts have told each other of.
-    pub(crate) fn told(&self) -> impl Iterator<Item = (ServicePart, EventTime)> {
-        self.told.iter().map(|(part, began)| (*part, *began))
+    /// Returns the newest answers under suspected parts that hosts have announced.
+    pub(crate) fn announced(&self) -> impl Iterator<Item = (ServicePart, EventTime)> {
+        self.announced.iter().map(|(part, began)| (*part, *began))
     }
 
-    /// Returns the answers of this host that may clear a suspected part, and that no host has told of.
-    pub(crate) fn untold_answers(&self) -> Vec<(ServicePart, EventTime)> {
+    /// Returns the answers of this host that may clear a suspected part, and that no host has announced.
+    pub(crate) fn unannounced_answers(&self) -> Vec<(ServicePart, EventTime)> {
         let mut last_crashes: BTreeMap<ServicePart, EventTime> = BTreeMap::new();
         for crash in self.unexplained() {
             last_crashes.extend(crash.suspects.keys().map(|part| (*part, crash.at)));
@@ -483,16 +483,16 @@
         for (part, isolation) in &self.isolated {
             last_crashes.insert(*part, isolation.last_crash);
         }
-        let untold = |(part, last_crash): (ServicePart, EventTime)| {
+        let unannounced = |(part, last_crash): (ServicePart, EventTime)| {
             let began = self.own_answer(part)?;
-            let told = self.told.get(&part).copied();
-            let is_news = match told {
+            let announced = self.announced.get(&part).copied();
+            let is_news = match announced {
                 None => true,
-                Some(told) => told <= last_crash && began > last_crash,
+                Some(announced) => announced <= last_crash && began > last_crash,
             };
             is_news.then_some((part, began))
         };
-        last_crashes.into_iter().filter_map(untold).collect()
+        last_crashes.into_iter().filter_map(unannounced).collect()
     }
 }
 
--- a/lib/tests/test_crash_evidence.rs
+++ b/lib/tests/test_crash_evidence.rs
@@ -24,8 +24,8 @@
     OtherCrash(u64, u32, &'static [u64]),
     /// An answer under parts began.
     Answer(u64, &'static [u64]),
-    /// Another host told of an answer that began at `.1`.
-    Told(u64, u64, u64),
+    /// Another host announced an answer that began at `.1`.
+    Announced(u64, u64, u64),
 }
 use Seen::*;
 
@@ -36,7 +36,7 @@
             | BegunCrash(time, ..)
             | OtherCrash(time, ..)
             | Answer(time, _)
-            | Told(time, ..) => time,
+            | Announced(time, ..) => time,
         }
     }
 }
@@ -60,7 +60,7 @@
                 self.crash(now, server, OTHER_CUSTOMER, false, parts(ids));
             }
             Answer(_, ids) => self.evidence.record_answer(SERVICE, &parts(ids), now),
-            Told(_, began, id) => {
+            Announced(_, began, id) => {
                 let part = ServicePart { service: SERVICE, part: PartId(id) };
                 self.evidence.learn_answer(part, EventTime::from(at(began)));
             }
@@ -116,7 +116,7 @@
 #[test_case(Story { seen: &[Crash(0, 1, &[10, 99]), Crash(300, 2, &[10, 99]), Crash(600, 3, &[10, 99]), Crash(900, 4, &[10, 99])], until: 1_200, isolated: &[99] } ; "the first part is shared and was never answered")]
 #[test_case(Story { seen: &[Crash(0, 1, &[99, 10]), Crash(300, 2, &[99, 11]), Crash(600, 3, &[99, 12]), Crash(900, 4, &[99, 13])], until: 1_200, isolated: &[99] } ; "the first part itself")]
 #[test_case(Story { seen: &[Crash(0, 1, &[10]), Crash(300, 2, &[10]), Answer(400, &[10]), Crash(600, 3, &[10]), Crash(900, 4, &[10])], until: 1_200, isolated: &[] } ; "an answer between")]
-#[test_case(Story { seen: &[Crash(0, 1, &[10]), Crash(300, 2, &[10]), Crash(600, 3, &[10]), Crash(900, 4, &[10]), Told(950, 100, 10)], until: 1_200, isolated: &[] } ; "an answer that another host saw before the last crash")]
+#[test_case(Story { seen: &[Crash(0, 1, &[10]), Crash(300, 2, &[10]), Crash(600, 3, &[10]), Crash(900, 4, &[10]), Announced(950, 100, 10)], until: 1_200, isolated: &[] } ; "an answer that another host saw before the last crash")]
 #[test_case(Story { seen: &[Answer(0, &[99]), Crash(200, 1, &[99]), Crash(400, 2, &[99]), Crash(600, 3, &[99]), Crash(800, 4, &[99])], until: 1_200, isolated: &[] } ; "four crashes of a part that was sound")]
 #[test_case(Story { seen: &[Answer(0, &[99]), Crash(200, 1, &[99]), Crash(400, 2, &[99]), Crash(600, 3, &[99]), Crash(800, 4, &[99]), Crash(1_000, 5, &[99])], until: 1_300, isolated: &[99] } ; "a part that turns bad")]
 #[test_case(Story { seen: &[Crash(0, 1, &[98]), Crash(200, 2, &[99]), Crash(400, 3, &[98]), Crash(600, 4, &[99]), Crash(800, 5, &[98]), Crash(1_000, 6, &[99]), Crash(1_200, 7, &[98]), Crash(1_400, 8, &[99])], until: 1_700, isolated: &[98, 99] } ; "two parts by turns")]
