gateway: log and count the limits that servers name

The field Server-Limit is parsed in each response, also of orders and reports. What a host learns is logged when a limit is named, changed or ended, with its source and version; `request sent` has the limit of its server, and the gauge limited_servers counts those that name one. Nothing is decided by it yet.

A version orders responses without comparing clocks: a response to a request that was sent when a version was known is at least as new. A value that can't be read, or a 421 of another server, changes nothing.

--- a/lib/src/coordination/gateway/cluster_view.rs
+++ b/lib/src/coordination/gateway/cluster_view.rs
@@ -122,6 +122,7 @@
     fn forget_removed_servers(&mut self) {
         let servers = &self.servers;
         self.health.retain(|id, _| servers.contains(id));
+        self.limits.retain(|digest| servers.contains_digest(digest));
     }
 
     /// Removes servers that were missing after an outage of the store and were not listed again in
--- a/lib/src/coordination/gateway/mod.rs
+++ b/lib/src/coordination/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod cluster_view;
 pub(crate) mod departures;
 pub(crate) mod isolation;
+pub(crate) mod limits;
 pub(crate) mod pauses;
 pub(crate) mod peer_summary;
 pub(crate) mod peers;
@@ -47,6 +48,7 @@
 use crate::state::Catalog;
 use crate::state::Freshness;
 use crate::state::GatewayRetryBudget;
+use crate::state::LimitTable;
 use crate::state::LoadTable;
 use crate::state::MemoryBounds;
 use crate::state::Moment;
@@ -91,6 +93,7 @@
     health: HashMap<ServerId, ServerHealth>,
     departures: departures::Departures,
     pauses: ServerPauses,
+    limits: LimitTable,
     isolations: isolation::Isolations,
     budgets: HashMap<ServiceName, GatewayRetryBudget>,
     peers: Peers,
@@ -118,6 +121,7 @@
             health: HashMap::new(),
             departures: departures::Departures::default(),
             pauses: ServerPauses::default(),
+            limits: LimitTable::default(),
             isolations: isolation::Isolations::default(),
             budgets: HashMap::new(),
             source: source_view::SourceView::default(),
--- a/lib/src/coordination/gateway/servers.rs
+++ b/lib/src/coordination/gateway/servers.rs
@@ -187,6 +187,11 @@
         self.servers.get(id.id()).is_some_and(|server| server.id == *id)
     }
 
+    /// Returns whether the start with this digest is listed.
+    pub(crate) fn contains_digest(&self, digest: u32) -> bool {
+        self.servers.values().any(|server| server.id.digest() == digest)
+    }
+
     /// Returns the number of servers.
     pub fn len(&self) -> usize {
         self.servers.len()
--- a/lib/src/transport/gateway/context.rs
+++ b/lib/src/transport/gateway/context.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::HashSet;
 use std::future::Future;
 use std::pin::Pin;
 use std::time::Duration;
@@ -39,6 +40,8 @@
     pub(crate) schedule_changed: Notify,
     /// Notified when this host's load changes, so that a summary is sent to peers.
     pub(crate) load_changed: Notify,
+    /// The servers, by digest, whose limit could not be parsed and was logged.
+    pub(crate) invalid_limits: RefCell<HashSet<u32>>,
     /// The bytes of request bodies in memory.
     pub(crate) buffered_bytes: Cell<usize>,
     /// The limit of `buffered_bytes`.
--- a/lib/src/transport/gateway/dialect.rs
+++ b/lib/src/transport/gateway/dialect.rs
@@ -14,6 +14,7 @@
 use crate::coordination::MemoryTicket;
 use crate::state::CustomerName;
 use crate::state::RequestFacts;
+use crate::state::RequestRate;
 use crate::state::Server;
 use crate::state::ServerId;
 
@@ -49,6 +50,8 @@
     pub retry_after: Option<Duration>,
     /// Whether the server states that it is leaving and shall get no more requests.
     pub is_leaving: bool,
+    /// What the server states of the rate of requests that it accepts.
+    pub limit: LimitStatement,
     /// Whether the server asks for a pause, in which it wants nothing from this host.
     pub pause: Option<PauseRequest>,
 }
@@ -62,6 +65,20 @@
     Invalid,
 }
 
+/// A server's statement on the rate of requests that it accepts from all hosts together.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum LimitStatement {
+    /// It names no limit.
+    #[default]
+    Absent,
+    /// It accepts this rate.
+    Rate(RequestRate),
+    /// It states a limit that cannot be parsed.
+    Invalid,
+    /// The response is not the server's own.
+    Foreign,
+}
+
 /// An order or question to an engine, as an HTTP request.
 pub type Order = Request<Full<Bytes>>;
 
--- a/lib/src/transport/gateway/exchange.rs
+++ b/lib/src/transport/gateway/exchange.rs
@@ -45,6 +45,7 @@
 use crate::coordination::NextStep;
 use crate::coordination::RefusalReason;
 use crate::coordination::SendResult;
+use crate::state::LimitVersion;
 use crate::state::Moment;
 use crate::state::SendId;
 
@@ -334,6 +335,7 @@
         if !self.begin_send(now, &active.dispatch) {
             return Err(SendResult::NoAttempt);
         }
+        let version = self.ctx.gateway.borrow().limit_version(&active.dispatch.server.id);
         self.log_send(now, &active.dispatch);
         let request = self.upstream_request(now, &active.dispatch);
         let response = timeout(deadline.since(now), upstream.send(request)).await;
@@ -343,6 +345,7 @@
             Ok(Ok(response)) => {
                 let (head, body) = response.into_parts();
                 self.ctx.record_if_leaving(&active.dispatch.server.id, &head);
+                self.record_limit(&active.dispatch, version, &head);
                 Ok((head, body))
             }
             Ok(Err(error)) => {
@@ -361,6 +364,15 @@
         }
     }
 
+    /// Records what the head of a response to this request states of its server's limit.
+    fn record_limit(&self, dispatch: &Dispatch, sent: LimitVersion, head: &response::Parts) {
+        let facts = self.ctx.dialect.response_facts(head);
+        if facts.is_signed || !head.status.is_success() {
+            let id = &self.request.borrow().id;
+            self.ctx.record_limit(&dispatch.server.id, sent, Some(id), &facts);
+        }
+    }
+
     fn upstream_request(&self, now: Moment, dispatch: &Dispatch) -> Request<Full<Bytes>> {
         let mut fields = self.head.headers.clone();
         strip_connection_fields(&mut fields);
--- a/lib/src/transport/gateway/exchange_log.rs
+++ b/lib/src/transport/gateway/exchange_log.rs
@@ -24,6 +24,7 @@
 use crate::coordination::RefusalReason;
 use crate::coordination::SendResult;
 use crate::state::Moment;
+use crate::state::RequestRate;
 use crate::state::RouteKind;
 
 /// Refuses a request that was not admitted to a route, with its log line and metric.
@@ -165,7 +166,9 @@
             "helpers" => dispatch.helpers.len(),
             "expected_ms" => dispatch.expected_delay.as_millis() as u64,
             "backlog_ms" => load.backlog.as_millis() as u64,
-            "running" => load.running_total(), "at_stake" => format!("{:.1?}", load.response_value),
+            "running" => load.running_total(),
+            "server_limit" => gateway.server_limit(&dispatch.server.id)
+                .map_or(-1.0, RequestRate::per_second), "at_stake" => format!("{:.1?}", load.response_value),
             "catalog_version" => gateway.catalog().map_or(0, |catalog| catalog.version()));
     }
 
--- a/lib/src/transport/gateway/memory_reservation.rs
+++ b/lib/src/transport/gateway/memory_reservation.rs
@@ -164,9 +164,11 @@
 async fn is_used(server: &Server, ctx: &GatewayContext, ticket: &MemoryTicket) -> bool {
     let exchange = async {
         let mut upstream = Upstream::connect(server.address).await.ok()?;
+        let version = ctx.gateway.borrow().limit_version(&server.id);
         let response = upstream.send(ctx.dialect.report_request(server)).await.ok()?;
         let (head, mut body) = response.into_parts();
         ctx.record_if_leaving(&server.id, &head);
+        ctx.record_limit(&server.id, version, None, &ctx.dialect.response_facts(&head));
         let mut report = BytesMut::new();
         while let Some(data) = body.next().await {
             report.extend_from_slice(&data.ok()?);
@@ -203,9 +205,12 @@
         if ctx.is_paused(&server.id) {
             return Some(OrderOutcome::Refused);
         }
+        let version = ctx.gateway.borrow().limit_version(&server.id);
         let (head, _) = upstream.send(order).await.ok()?.into_parts();
         ctx.record_if_leaving(&server.id, &head);
-        ctx.record_pause(&server.id, &ctx.dialect.response_facts(&head));
+        let facts = ctx.dialect.response_facts(&head);
+        ctx.record_pause(&server.id, &facts);
+        ctx.record_limit(&server.id, version, None, &facts);
         Some(ctx.dialect.order_outcome(&head))
     };
     timeout(ORDER_TIMEOUT, exchange).await.ok().flatten()
--- a/lib/src/transport/gateway/process.rs
+++ b/lib/src/transport/gateway/process.rs
@@ -127,6 +127,7 @@
         load_changed: Notify::new(),
         urgent_summary: Notify::new(),
         schedule_changed: Notify::new(),
+        invalid_limits: RefCell::default(),
         buffered_bytes: Cell::new(0),
         buffer_limit: (settings.memory_mb / BODY_MEMORY_DIVISOR) as usize * 1024 * 1024,
         connections: Cell::new(0),
--- a/lib/src/transport/gateway/telemetry.rs
+++ b/lib/src/transport/gateway/telemetry.rs
@@ -94,6 +94,7 @@
     pub(crate) connections: Gauge,
     pub(crate) buffered_bytes: Gauge,
     pub(crate) isolated_parts: Gauge,
+    pub(crate) limited_servers: Gauge,
 }
 
 impl Telemetry {
@@ -139,6 +140,7 @@
             ("connections", "Open connections of callers", &gauges.connections),
             ("buffered_bytes", "Bytes of request bodies that are held", &gauges.buffered_bytes),
             ("isolated_parts", "Parts of prompts that are refused", &gauges.isolated_parts),
+            ("limited_servers", "Servers that name a limit", &gauges.limited_servers),
         ];
         for (name, help, gauge) in named {
             registry.register(name, help, gauge.clone());
