gateway: long prompts while all engines name limits

A prompt that is read jointly was refused as having no engine when all engines name limits, since limited engines help no group (found by reading; not run before the change). It is read by one limited engine now. The price of prefill counts limited engines that lack a permit for the moment, so that one that is free isn't taken for a full fleet. Permits that were charged without being there are made up for up to a bound.

a_limited_engine_helps_no_group shows the three cases. Further tests show which response decides a limit, that a server that is gone leaves nothing behind, that 300 hosts know of a limit within 0.5 s, and when requests are refused.

--- a/lib/src/coordination/gateway/candidates.rs
+++ b/lib/src/coordination/gateway/candidates.rs
@@ -178,9 +178,11 @@
         let ahead = self.queue.prefill_ahead(now, request.queue_ticket, value, prefill);
         let candidates = self.group_candidates(now, servers, profile.slots);
         let engines = candidates.len().max(1) as u32;
+        // Limited engines that lack a permit for the moment still do a part of the work.
+        let all_engines = engines + inputs.limited as u32;
         let backlog: Duration = candidates.iter().map(|candidate| candidate.load.backlog).sum();
         let mean_backlog = (backlog + ahead) / engines;
-        let load_factor = self.load_factor(now, candidates.len());
+        let load_factor = self.load_factor(now, all_engines as usize);
         let query = GroupQuery {
             size,
             gap_class: request.gap_class(),
@@ -189,7 +191,7 @@
             price: prefill_price(load_factor, mean_backlog.as_secs_f64()),
             jitter_seed: seed,
         };
-        let queue_time = (ahead + self.peers.queued(now)) / engines;
+        let queue_time = (ahead + self.peers.queued(now)) / all_engines;
         let is_full = |candidate: &&GroupCandidate| candidate.load.running_total() >= profile.slots;
         inputs.full = candidates.iter().filter(is_full).count();
         let mut weighed = PrefillInputs {
@@ -203,13 +205,9 @@
             time_left: request.abandon_at.min(request.deadline).since(now),
             load_age: self.loads.oldest_summary(now),
         };
-        let mut servers = servers.to_vec();
-        let mut outcome = choose_group(&profile, &query, &candidates);
-        if has_limited_helper(&outcome, |position| self.is_limited(servers[position])) {
-            servers.retain(|server| !self.is_limited(server));
-            let candidates = self.group_candidates(now, &servers, profile.slots);
-            outcome = choose_group(&profile, &query, &candidates);
-        }
+        let (unlimited, outcome) =
+            self.choose_group_by_limits(now, &profile, &query, servers, &candidates);
+        let servers = unlimited.as_deref().unwrap_or(servers);
         let outcome = match outcome {
             ChoiceOutcome::Send(choice) => {
                 weighed.first_event = Some(choice.first_event);
@@ -242,6 +240,33 @@
         EngineChoice { profile, size, query, value, prefill, is_behind, queue_time, outcome }
     }
 
+    /// Chooses engines so that no helper names a limit: a helper's orders and its part of the prompt would
+    /// all count as requests. Returns the servers to which the choice refers, unless these are all of
+    /// `servers`, whose loads are `candidates`.
+    fn choose_group_by_limits<'a>(
+        &self,
+        now: Moment,
+        profile: &EngineProfile,
+        query: &GroupQuery,
+        servers: &[&'a Server],
+        candidates: &[GroupCandidate],
+    ) -> (Option<Vec<&'a Server>>, ChoiceOutcome) {
+        let outcome = choose_group(profile, query, candidates);
+        let is_limited = |position: usize| self.is_limited(servers[position]);
+        if !has_helper(&outcome, is_limited) {
+            return (None, outcome);
+        }
+        let unlimited: Vec<&Server> =
+            servers.iter().copied().filter(|server| !self.is_limited(server)).collect();
+        let others = self.group_candidates(now, &unlimited, profile.slots);
+        let outcome = choose_group(profile, query, &others);
+        if matches!(outcome, ChoiceOutcome::Send(_)) {
+            return (Some(unlimited), outcome);
+        }
+        let alone = EngineProfile { joint_prefill: false, ..*profile };
+        (None, choose_group(&alone, query, candidates))
+    }
+
     fn group_candidates(
         &self,
         now: Moment,
@@ -302,9 +327,8 @@
     }
 }
 
-/// Returns whether a helper of the chosen group is limited. Each of its orders and its part of the prompt
-/// would count as requests.
-fn has_limited_helper(outcome: &ChoiceOutcome, is_limited: impl Fn(usize) -> bool) -> bool {
+/// Returns whether the chosen group has a helper that `is_limited` holds for.
+fn has_helper(outcome: &ChoiceOutcome, is_limited: impl Fn(usize) -> bool) -> bool {
     let ChoiceOutcome::Send(choice) = outcome else { return false };
     choice.helpers.iter().any(|helper| is_limited(helper.position))
 }
--- a/lib/src/state/gateway/rate_bucket.rs
+++ b/lib/src/state/gateway/rate_bucket.rs
@@ -6,6 +6,8 @@
 
 /// The time for which permits that nobody takes accumulate, besides the first one.
 const DEPTH: Duration = Duration::from_millis(500);
+/// The most permits that were taken without being there and are made up for.
+const MAX_DEBT: f64 = 20.0;
 /// The longest time until the next permit that is stated.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 
@@ -59,7 +61,7 @@
     /// Takes a permit that may not be there; later ones make up for it.
     pub fn charge(&mut self, now: Moment) {
         self.fill(now);
-        self.level -= 1.0;
+        self.level = (self.level - 1.0).max(-MAX_DEBT);
     }
 
     fn depth(&self) -> f64 {
--- a/lib/tests/test_gateway_limits.rs
+++ b/lib/tests/test_gateway_limits.rs
@@ -81,6 +81,8 @@
     is_summary_due: Vec<bool>,
     ended: Vec<bool>,
     frozen: Vec<bool>,
+    /// The requests that are due, with a fraction.
+    owed: f64,
     served: u64,
     refused: u64,
     random: SmallRng,
@@ -122,6 +124,7 @@
             is_summary_due: vec![true; hosts],
             ended: (0..hosts).map(|host| host >= hosts - late).collect(),
             frozen: vec![false; hosts],
+            owed: 0.0,
             served: 0,
             refused: 0,
             random: SmallRng::seed_from_u64(7),
@@ -154,9 +157,8 @@
         Some(RequestRate::from_micros((limit * 1e6) as u64))
     }
 
-    fn run(&mut self) {
-        let mut owed = 0.0;
-        while self.now_ms < END_MS {
+    fn run_until(&mut self, end_ms: u64) {
+        while self.now_ms < end_ms {
             self.begin_trouble();
             for host in 0..self.fleet.hosts {
                 let is_due = (self.now_ms / STEP_MS + host as u64).is_multiple_of(SUMMARY_STEPS);
@@ -168,9 +170,9 @@
                     self.gateways[host].fill_buckets(at(self.now_ms));
                 }
             }
-            owed += self.fleet.demand * STEP_MS as f64 / 1_000.0;
-            while owed >= 1.0 {
-                owed -= 1.0;
+            self.owed += self.fleet.demand * STEP_MS as f64 / 1_000.0;
+            while self.owed >= 1.0 {
+                self.owed -= 1.0;
                 let host = self.random.random_range(0..self.fleet.hosts);
                 if self.runs(host) {
                     self.ask(host);
@@ -315,7 +317,7 @@
 #[test_case(LimitedFleet { hosts: 90, servers: 64, limits: &[1.0, 6.0], demand: 400.0, trouble: Trouble::Growth } ; "90 hosts growth into cells")]
 fn all_hosts_together_keep_a_limit(fleet: LimitedFleet) {
     let mut simulation = Simulation::new(fleet);
-    simulation.run();
+    simulation.run_until(END_MS);
     let limits = simulation.fleet.limits;
     let mut faults = Vec::new();
     for (server, limit) in limits.iter().enumerate() {
@@ -337,3 +339,169 @@
     }
     assert!(faults.is_empty(), "{faults:#?}");
 }
+
+fn limit_of(rate: f64) -> Option<RequestRate> {
+    Some(RequestRate::from_micros((rate * 1e6) as u64))
+}
+
+fn sent(placement: GatewayPlacement) -> Box<Dispatch> {
+    match placement {
+        GatewayPlacement::Send(dispatch) => dispatch,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// A gateway whose service of engines has these ones; the first of them name limits.
+struct LimitedEngines {
+    engines: usize,
+    limited: usize,
+    prompt: u64,
+    has_helpers: bool,
+}
+
+// Guards against helpers that name a limit, and against long prompts that no limited engine serves.
+#[test_case(LimitedEngines { engines: 6, limited: 2, prompt: 200_000, has_helpers: true } ; "others help")]
+#[test_case(LimitedEngines { engines: 6, limited: 6, prompt: 120_000, has_helpers: false } ; "all are limited")]
+#[test_case(LimitedEngines { engines: 6, limited: 6, prompt: 5_000, has_helpers: false } ; "a short prompt")]
+fn a_limited_engine_helps_no_group(case: LimitedEngines) {
+    let mut gateway = gateway(1);
+    for number in 3..=case.engines {
+        let engine = server(&format!("e-{number}"), "engines", 10 + number as u16);
+        gateway.apply_server(ServerChange::Listed(engine));
+    }
+    let id = |number: usize| ServerId::new(format!("e-{number}"), 1);
+    for number in 1..=case.limited {
+        gateway.record_limit(at(0), &id(number), LimitVersion(0), limit_of(2.0));
+    }
+    let size = Some(PromptSize { prompt: case.prompt, max_output: 500 });
+    let head = RequestFacts { size, ..facts("/stream/x") };
+    let mut request = gateway.admit(at(0), &head).unwrap();
+    let dispatch = sent(gateway.place(at(0), &mut request));
+    assert_eq!(!dispatch.helpers.is_empty(), case.has_helpers);
+    assert!(
+        dispatch.helpers.iter().all(|helper| gateway.server_limit(&helper.server.id).is_none())
+    );
+}
+
+/// What one host reads in responses, each with the version that was known when its request was sent, and
+/// the limit that it then knows.
+struct Readings {
+    read: &'static [(u32, Option<f64>)],
+    known: Option<f64>,
+    version: u32,
+}
+
+// Guards against responses that arrive in another order than they were sent in.
+#[test_case(Readings { read: &[(0, Some(2.0))], known: Some(2.0), version: 1 } ; "named")]
+#[test_case(Readings { read: &[(0, Some(2.0)), (0, None)], known: Some(2.0), version: 1 } ; "an older response without a limit")]
+#[test_case(Readings { read: &[(0, Some(2.0)), (1, None)], known: None, version: 2 } ; "ended")]
+#[test_case(Readings { read: &[(0, Some(2.0)), (1, None), (0, Some(2.0)), (3, None)], known: None, version: 4 } ; "an older response with a limit counts until the next one")]
+#[test_case(Readings { read: &[(0, Some(2.0)), (0, Some(3.0))], known: Some(2.0), version: 1 } ; "an older response with a higher limit")]
+#[test_case(Readings { read: &[(0, Some(2.0)), (0, Some(1.0))], known: Some(1.0), version: 2 } ; "an older response with a lower limit")]
+#[test_case(Readings { read: &[(0, Some(2.0)), (1, Some(3.0)), (2, Some(3.0))], known: Some(3.0), version: 2 } ; "raised")]
+#[test_case(Readings { read: &[(0, None)], known: None, version: 0 } ; "never named")]
+fn the_newest_response_decides_a_limit(case: Readings) {
+    let mut gateway = gateway(1);
+    let server = ServerId::new("p-1", 1);
+    for (sent, rate) in case.read {
+        let rate = rate.and_then(limit_of);
+        gateway.record_limit(at(0), &server, LimitVersion(*sent), rate);
+    }
+    assert_eq!(gateway.server_limit(&server), case.known.and_then(limit_of));
+    assert_eq!(gateway.limit_version(&server), LimitVersion(case.version));
+}
+
+// Guards against hosts that know different limits for good after each has read another one.
+#[test]
+fn hosts_that_read_different_limits_keep_the_lower_one() {
+    let server = ServerId::new("p-1", 1);
+    let (mut first, mut second) = (gateway(1), gateway(2));
+    first.set_seeds(address(1), Vec::new());
+    second.set_seeds(address(2), Vec::new());
+    first.record_limit(at(0), &server, LimitVersion(0), limit_of(3.0));
+    second.record_limit(at(0), &server, LimitVersion(0), limit_of(2.0));
+    send_summary(&mut first, 1, &mut second, at(1));
+    send_summary(&mut second, 2, &mut first, at(2));
+    assert_eq!(first.server_limit(&server), limit_of(2.0));
+    assert_eq!(second.server_limit(&server), limit_of(2.0));
+}
+
+// Guards against limits of servers that are gone, which hosts would tell each other of for ever.
+#[test]
+fn a_server_that_is_gone_leaves_no_limit_behind() {
+    let server = ServerId::new("p-1", 1);
+    let (mut first, mut second) = (gateway(1), gateway(2));
+    first.set_seeds(address(1), Vec::new());
+    second.set_seeds(address(2), Vec::new());
+    first.record_limit(at(0), &server, LimitVersion(0), limit_of(1.0));
+    send_summary(&mut first, 1, &mut second, at(1));
+    assert_eq!(second.limited_servers().count(), 1);
+    second.apply_server(ServerChange::Removed("p-1".to_owned()));
+    send_summary(&mut first, 1, &mut second, at(2));
+    assert!(second.peer_summary(at(3)).limits.is_empty());
+    first.apply_server(ServerChange::Removed("p-1".to_owned()));
+    assert!(first.peer_summary(at(4)).limits.is_empty());
+    assert_eq!(first.server_limit(&server), None);
+    let restarted = Server { id: ServerId::new("p-1", 2), ..gateways::server("p-1", "plain", 3) };
+    first.apply_server(ServerChange::Listed(restarted.clone()));
+    assert_eq!(first.server_limit(&restarted.id), None);
+}
+
+// Guards against hosts, of other cells as well, that go on to send before they know of a limit.
+#[test_case(5)]
+#[test_case(300)]
+fn all_hosts_know_a_limit_soon(hosts: usize) {
+    const KNOWN_WITHIN_MS: u64 = 500;
+    let fleet = LimitedFleet {
+        hosts,
+        servers: 24,
+        limits: &[1.0],
+        demand: hosts as f64 * 2.0,
+        trouble: Trouble::None,
+    };
+    let mut simulation = Simulation::new(fleet);
+    simulation.run_until(NAMED_MS);
+    let server = simulation.servers[0].id.clone();
+    let knowing = |simulation: &Simulation| {
+        simulation.gateways.iter().filter(|one| one.server_limit(&server).is_some()).count()
+    };
+    while knowing(&simulation) == 0 {
+        simulation.run_until(simulation.now_ms + STEP_MS);
+    }
+    simulation.run_until(simulation.now_ms + KNOWN_WITHIN_MS);
+    assert_eq!(knowing(&simulation), hosts);
+}
+
+// Guards against datagrams that are longer than before while no server names a limit.
+#[test]
+fn a_summary_without_limits_says_nothing_of_them() {
+    let mut gateway = gateway(1);
+    gateway.set_seeds(address(1), vec![address(2)]);
+    assert!(gateway.peer_summary(at(0)).limits.is_empty());
+}
+
+/// The refusal of a request that all servers' limits leave no room for.
+struct Refusal {
+    rate: f64,
+    /// The range of the Retry-After, in milliseconds.
+    retry_after: std::ops::RangeInclusive<u64>,
+}
+
+// Guards against requests that are held although no server takes them in time.
+#[test_case(Refusal { rate: 0.0, retry_after: 250..=5_000 } ; "none")]
+#[test_case(Refusal { rate: 0.5, retry_after: 250..=2_500 } ; "one in two seconds")]
+fn a_request_is_refused_at_once_without_a_permit_in_time(case: Refusal) {
+    let mut gateway = gateway(1);
+    for name in ["p-1", "p-2"] {
+        let id = ServerId::new(name, 1);
+        gateway.record_limit(at(0), &id, LimitVersion(0), limit_of(case.rate));
+        assert_eq!(gateway.request_permit(at(1), &id), PermitStep::Denied);
+    }
+    let mut request = gateway.admit(at(2), &facts("/often/x")).unwrap();
+    let GatewayPlacement::Refuse(refusal) = gateway.place(at(2), &mut request) else {
+        panic!("the request is not refused");
+    };
+    assert_eq!((refusal.reason, refusal.reason.status()), (RefusalReason::ServersLimited, 503));
+    let after = refusal.retry_after.unwrap().as_millis() as u64;
+    assert!(case.retry_after.contains(&after), "{after}");
+}
