soak: servers that name limits

In two of three seeds two servers name two limits each, one after the other, from 0 to 8 requests a second. What all hosts send, orders and parts of groups as well, is counted strictly in any 4 s, also of hosts that were disturbed or started meanwhile.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -16,6 +16,7 @@
 use crate::fleet::RETRY_SLACK;
 use crate::fleet::RETRY_WINDOW_MS;
 use crate::fleet::REVOKE_MS;
+use crate::limits::exceeded_limits;
 use crate::pauses::ignored_pauses;
 
 /// Time without disturbances that must precede a server's departure, a planned stop, or the last
@@ -62,6 +63,7 @@
         violations.extend(self.not_recovered());
         violations.extend(ignored_pauses(self.observations));
         violations.extend(sent_after_crashes(self.observations));
+        violations.extend(exceeded_limits(self.observations));
         violations
     }
 
--- a/soak/src/evidence.rs
+++ b/soak/src/evidence.rs
@@ -9,6 +9,8 @@
 
 use wasabicrank_testutils::server::lock;
 
+use crate::limits::NamedLimit;
+
 /// Milliseconds since the soak began.
 pub(crate) type Millis = u64;
 
@@ -157,6 +159,8 @@
     pub(crate) rewinds: Vec<Millis>,
     /// Planned stops: the host, its start count, when it was signalled, and when it exited, if in time.
     pub(crate) stops: Vec<(usize, u64, Millis, Option<Millis>)>,
+    /// The limits that servers named.
+    pub(crate) limits: Vec<NamedLimit>,
     /// The engines that crash now because of a prompt, and when such crashes happened.
     pub(crate) crashing: Vec<String>,
     pub(crate) crashes: Vec<Millis>,
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -119,6 +119,9 @@
                 Ok(())
             }
             Fault::ServerCrash { server, span } => self.crash_server(server, span).await,
+            Fault::ServerLimits { server, rates, span } => {
+                self.name_limits(server, rates, span).await
+            }
             Fault::ServerLeaves { server, departure } => {
                 self.replace_server(server, departure).await
             }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -13,6 +13,7 @@
 mod faults;
 mod fleet;
 mod http_server;
+mod limits;
 mod pauses;
 mod responses;
 mod schedule;
@@ -83,6 +84,7 @@
     let mut random = SmallRng::seed_from_u64(setup.seed);
     let mut faults =
         schedule::draw_faults(&mut random, setup.span, setup.hosts, World::server_count());
+    faults.extend(limits::draw_limits(setup.seed, setup.span, World::server_count()));
     let world = Arc::new(World::start(setup).await?);
     let background = start_background(setup, &world, random.random());
     let tasks = faults.iter().map(|(at, fault)| {
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -39,21 +39,70 @@
 /// A fault or a planned change.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Fault {
-    Kill { host: usize },
-    Pause { host: usize, span: Duration },
-    Stop { host: usize },
-    Reload { host: usize },
-    CallerLink { host: usize, link: LinkFault, span: Duration },
-    StoreLink { host: usize, link: LinkFault, span: Duration },
-    StoreAway { link: LinkFault, span: Duration },
-    StoreBusy { span: Duration },
+    Kill {
+        host: usize,
+    },
+    Pause {
+        host: usize,
+        span: Duration,
+    },
+    Stop {
+        host: usize,
+    },
+    Reload {
+        host: usize,
+    },
+    CallerLink {
+        host: usize,
+        link: LinkFault,
+        span: Duration,
+    },
+    StoreLink {
+        host: usize,
+        link: LinkFault,
+        span: Duration,
+    },
+    StoreAway {
+        link: LinkFault,
+        span: Duration,
+    },
+    StoreBusy {
+        span: Duration,
+    },
     Compact,
-    Rewind { away: Duration, age: Duration },
-    RewindDeparture { server: usize, departure: Departure, away: Duration },
-    ServerLink { server: usize, link: LinkFault, span: Duration },
-    ServerManner { server: usize, manner: Behavior, span: Duration },
-    ServerCrash { server: usize, span: Duration },
-    ServerLeaves { server: usize, departure: Departure },
+    Rewind {
+        away: Duration,
+        age: Duration,
+    },
+    RewindDeparture {
+        server: usize,
+        departure: Departure,
+        away: Duration,
+    },
+    ServerLink {
+        server: usize,
+        link: LinkFault,
+        span: Duration,
+    },
+    ServerManner {
+        server: usize,
+        manner: Behavior,
+        span: Duration,
+    },
+    ServerCrash {
+        server: usize,
+        span: Duration,
+    },
+    /// Names two limits, in thousandths of a request per second, each for `span`.
+    ServerLimits {
+        server: usize,
+        rates: [u32; 2],
+        span: Duration,
+    },
+    ServerLeaves {
+        server: usize,
+        departure: Departure,
+    },
     AddRoute,
     Storm,
     Revoke,
--- a/soak/src/server.rs
+++ b/soak/src/server.rs
@@ -38,6 +38,7 @@
 use crate::http_server::ResponseBody;
 use crate::http_server::Spoiler;
 use crate::http_server::listen;
+use crate::limits::LIMIT_FIELD;
 use crate::responses::aborted_response;
 use crate::responses::call_text;
 use crate::responses::event_count;
@@ -74,6 +75,8 @@
     behavior: Mutex<Behavior>,
     /// Whether it states in its responses that it is leaving.
     is_leaving: AtomicBool,
+    /// The limit that it names in its responses, in requests per second.
+    limit: Mutex<Option<f64>>,
     running: AtomicU32,
     tickets: Tickets,
     registry: Registry,
@@ -99,6 +102,7 @@
             service,
             behavior: Mutex::default(),
             is_leaving: AtomicBool::new(false),
+            limit: Mutex::default(),
             running: AtomicU32::new(0),
             tickets: Tickets::default(),
             registry: registry.clone(),
@@ -135,6 +139,11 @@
         self.state.is_leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Makes it name a limit in all further responses, or none.
+    pub(crate) fn name_limit(&self, rate: Option<f64>) {
+        *lock(&self.state.limit) = rate;
+    }
+
     /// Drops all reservations, as a crash of the process would.
     pub(crate) fn drop_tickets(&self) {
         self.state.tickets.clear();
@@ -157,6 +166,11 @@
         if self.is_leaving.load(Ordering::SeqCst) {
             response.headers_mut().insert("server-leaving", HeaderValue::from_static("1"));
         }
+        if let Some(rate) = *lock(&self.limit)
+            && let Ok(value) = rate.to_string().parse()
+        {
+            response.headers_mut().insert(LIMIT_FIELD, value);
+        }
         response
     }
 
