gateway: permits by value, and a replay with limited engines

If all engines name limits, whoever asked first got the next permit, also while a request of more value waited. A request now waits behind those of its host and service that wait for permits and rank higher, by value and waiting time. the_request_of_the_highest_value_gets_the_next_permit shows it.

--- a/lib/src/coordination/gateway/mod.rs
+++ b/lib/src/coordination/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod pauses;
 pub(crate) mod peer_summary;
 pub(crate) mod peers;
+pub(crate) mod permit_queue;
 pub(crate) mod permits;
 pub(crate) mod placement;
 pub(crate) mod queue;
--- a/lib/src/coordination/gateway/permits.rs
+++ b/lib/src/coordination/gateway/permits.rs
@@ -20,6 +20,7 @@
 use super::RefusalReason;
 use super::limits::MAX_NEWS_LIMITS;
 use super::lost_if_may_have_run;
+use super::permit_queue::PermitQueue;
 use crate::state::Moment;
 use crate::state::RateBucket;
 use crate::state::RequestRate;
@@ -37,7 +38,7 @@
 /// How long a permit may be kept before its request is sent.
 const PERMIT_TTL: Duration = Duration::from_millis(500);
 /// The timeout of an arbiter's answer: several times the latency between two availability zones.
-pub const PERMIT_TIMEOUT: Duration = Duration::from_millis(40);
+pub const PERMIT_TIMEOUT: Duration = Duration::from_millis(60);
 /// The bounds of the time after a denial in which this host does not ask again.
 const MIN_ASK_INTERVAL: Duration = Duration::from_millis(20);
 const MAX_ASK_INTERVAL: Duration = Duration::from_secs(1);
@@ -81,6 +82,8 @@
     buckets: FxHashMap<u32, RateBucket>,
     /// Until when no permit is expected for this host.
     waits: FxHashMap<u32, Moment>,
+    /// The requests that wait for permits.
+    pub(crate) queue: PermitQueue,
     /// The hosts of other cells that did not answer, and when.
     unanswered: FxHashMap<Ipv4Addr, Moment>,
 }
@@ -251,15 +254,35 @@
         now: Moment,
         request: &mut GatewayRequest,
     ) -> GatewayPlacement {
-        let value = request.size.map_or_else(|| prompt_value(0), |size| prompt_value(size.prompt));
-        let ahead = self.queue.count_ahead(now, request.queue_ticket, value, Duration::ZERO);
+        let value = request_value(request);
+        let ahead = self.permits_ahead(now, request);
         let (next, rate) = self.permit_outlook(now, &request.service);
         let turn = next + Duration::from_secs_f64(ahead as f64 / rate.max(MIN_RATE.per_second()));
         let left = request.objective_left(now).max(MIN_PERMIT_WAIT);
         if turn > left.min(request.deadline.since(now)) {
             return self.refuse(request, limit_refusal(request, turn));
         }
-        self.wait(now, request, value, Duration::ZERO, next, Duration::ZERO)
+        let placement = self.wait(now, request, value, Duration::ZERO, next, Duration::ZERO);
+        if let (GatewayPlacement::Wait(delay), Some(ticket)) = (&placement, request.queue_ticket) {
+            self.permits.queue.record_wait(now, ticket, &request.service, value, *delay);
+        }
+        placement
+    }
+
+    /// Returns whether requests that wait at this host get permits before `request`, which would go to
+    /// `server`.
+    pub(crate) fn yields_permit(
+        &self,
+        now: Moment,
+        request: &GatewayRequest,
+        server: &Server,
+    ) -> bool {
+        self.is_limited(server) && self.permits_ahead(now, request) > 0
+    }
+
+    fn permits_ahead(&self, now: Moment, request: &GatewayRequest) -> usize {
+        let (ticket, value) = (request.queue_ticket, request_value(request));
+        self.permits.queue.count_ahead(now, ticket, &request.service, value)
     }
 
     /// Returns the refusal for a request that needs more servers than those that name no limit.
@@ -285,6 +308,11 @@
     }
 }
 
+/// Returns the value of a request when its response is on time.
+fn request_value(request: &GatewayRequest) -> f64 {
+    prompt_value(request.size.map_or(0, |size| size.prompt))
+}
+
 /// Returns the refusal for a request whose turn at the limited servers would come after `turn`.
 fn limit_refusal(request: &GatewayRequest, turn: Duration) -> GatewayRefusal {
     let retry_after = turn.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
--- a/lib/src/coordination/gateway/placement.rs
+++ b/lib/src/coordination/gateway/placement.rs
@@ -128,7 +128,15 @@
                 self.refuse(request, lost_if_may_have_run(request, refusal))
             }
             ServerChoice::NoPermit => self.wait_for_permit(now, request),
-            ServerChoice::Engines(choice) => self.place_at_engines(now, request, *choice),
+            ServerChoice::Engines(choice) => match &choice.outcome {
+                EngineOutcome::Send(group) if self.yields_permit(now, request, &group.first) => {
+                    self.wait_for_permit(now, request)
+                }
+                _ => self.place_at_engines(now, request, *choice),
+            },
+            ServerChoice::Plain(Some(server)) if self.yields_permit(now, request, &server) => {
+                self.wait_for_permit(now, request)
+            }
             ServerChoice::Plain(Some(server)) => self.place_at_server(now, request, server),
             ServerChoice::Plain(None) => self.wait_for_slot(now, request),
         }
@@ -138,6 +146,7 @@
     pub fn leave_queue(&mut self, request: &mut GatewayRequest) {
         if let Some(ticket) = request.queue_ticket.take() {
             self.queue.leave(ticket);
+            self.permits.queue.leave(ticket);
         }
     }
 
--- a/lib/src/coordination/gateway/queue.rs
+++ b/lib/src/coordination/gateway/queue.rs
@@ -52,36 +52,15 @@
         value: f64,
         prefill: Duration,
     ) -> Duration {
-        self.ahead(now, ticket, value, prefill).map(|waiter| waiter.prefill).sum()
-    }
-
-    /// Returns the number of requests that are placed before `ticket`, or before a new request of the
-    /// given value and prefill time.
-    pub fn count_ahead(
-        &self,
-        now: Moment,
-        ticket: Option<u64>,
-        value: f64,
-        prefill: Duration,
-    ) -> usize {
-        self.ahead(now, ticket, value, prefill).count()
-    }
-
-    fn ahead(
-        &self,
-        now: Moment,
-        ticket: Option<u64>,
-        value: f64,
-        prefill: Duration,
-    ) -> impl Iterator<Item = &Waiter> {
         let own = ticket.and_then(|ticket| self.waiters.iter().find(|one| one.ticket == ticket));
         let new = Waiter { ticket: u64::MAX, value, prefill, since: now };
-        let own = *own.unwrap_or(&new);
+        let own = own.unwrap_or(&new);
         let rank = own.rank(now);
-        self.waiters.iter().filter(move |other| {
+        let goes_before = |other: &&Waiter| {
             let theirs = other.rank(now);
             theirs > rank || (theirs == rank && other.ticket < own.ticket)
-        })
+        };
+        self.waiters.iter().filter(goes_before).map(|waiter| waiter.prefill).sum()
     }
 
     /// Returns the summed prefill time of all waiting requests.
--- a/lib/tests/test_gateway_limits.rs
+++ b/lib/tests/test_gateway_limits.rs
@@ -505,3 +505,28 @@
     let after = refusal.retry_after.unwrap().as_millis() as u64;
     assert!(case.retry_after.contains(&after), "{after}");
 }
+
+// Guards against permits that go to whoever asks first while a request of more value waits for one.
+#[test]
+fn the_request_of_the_highest_value_gets_the_next_permit() {
+    const ASK_MS: u64 = 5;
+    let mut gateway = gateway(1);
+    let engines = ["e-1", "e-2"].map(|name| ServerId::new(name, 1));
+    for engine in &engines {
+        gateway.record_limit(at(0), engine, LimitVersion(0), limit_of(10.0));
+        gateway.record_denial(at(0), engine, ms(ASK_MS));
+    }
+    let mut admit = |prompt: u64| {
+        let size = Some(PromptSize { prompt, max_output: 500 });
+        let head = RequestFacts { size, ..facts("/stream/x") };
+        let mut request = gateway.admit(at(1), &head).unwrap();
+        let placement = gateway.place(at(1), &mut request);
+        assert!(matches!(placement, GatewayPlacement::Wait(_)), "{placement:?}");
+        request
+    };
+    let (mut short, mut long) = (admit(2_000), admit(60_000));
+    let placement = gateway.place(at(100), &mut short);
+    assert!(matches!(placement, GatewayPlacement::Wait(_)), "{placement:?}");
+    sent(gateway.place(at(100), &mut long));
+    sent(gateway.place(at(101), &mut short));
+}
--- a/workload/src/gateway/fleet.rs
+++ b/workload/src/gateway/fleet.rs
@@ -34,6 +34,11 @@
     Ipv4Addr::from(0x0a01_0001 + host as u32)
 }
 
+/// Returns the position of the host at `address`.
+pub(crate) fn position(address: Ipv4Addr) -> usize {
+    (u32::from(address) - 0x0a01_0001) as usize
+}
+
 /// Returns the zone of the host or engine at `position`; zones are assigned round-robin.
 fn zone(position: usize) -> ZoneName {
     ZoneName::new(format!("zone-{}", position % ZONES))
--- a/workload/src/gateway/mod.rs
+++ b/workload/src/gateway/mod.rs
@@ -3,11 +3,13 @@
 
 mod engine;
 mod fleet;
+mod limits;
 mod load;
 mod replay;
 mod report;
 
 pub use engine::EngineFault;
+pub use limits::*;
 pub use load::Arrival;
 pub use load::GatewayLoad;
 pub use load::Phase;
--- a/workload/src/gateway/replay.rs
+++ b/workload/src/gateway/replay.rs
@@ -19,6 +19,7 @@
 use wasabicrank_lib::coordination::SummaryScope;
 use wasabicrank_lib::coordination::SummaryTarget;
 use wasabicrank_lib::state::EngineProfile;
+use wasabicrank_lib::state::LimitVersion;
 use wasabicrank_lib::state::Moment;
 use wasabicrank_lib::state::RequestFacts;
 use wasabicrank_lib::state::SendId;
@@ -32,6 +33,9 @@
 use super::fleet::address;
 use super::fleet::gateway;
 use super::fleet::server;
+use super::limits::EngineLimit;
+use super::limits::count_requests;
+use super::limits::take_permit;
 use super::load::Arrival;
 use super::load::GatewayLoad;
 use super::report::KindResult;
@@ -60,6 +64,8 @@
     pub profile: EngineProfile,
     /// The engines that have a fault, by position.
     pub faults: Vec<(usize, EngineFault)>,
+    /// The engines that name a limit.
+    pub limits: Vec<EngineLimit>,
     /// The policy that places requests.
     pub policy: ReplayPolicy,
 }
@@ -91,6 +97,7 @@
             engines: 16,
             profile,
             faults: Vec::new(),
+            limits: Vec::new(),
             policy: ReplayPolicy::Gateway,
         }
     }
@@ -156,6 +163,8 @@
     is_summary_due: Vec<bool>,
     summarized: Vec<Moment>,
     engines: Vec<Engine>,
+    /// When requests arrived at each engine.
+    engine_arrivals: Vec<Vec<Moment>>,
     positions: HashMap<ServerId, usize>,
     jobs: HashMap<JobId, Job>,
     last_job: JobId,
@@ -205,12 +214,14 @@
             is_summary_due: vec![false; setup.hosts],
             summarized: vec![Moment(0); setup.hosts],
             engines: engines.collect(),
+            engine_arrivals: vec![Vec::new(); setup.engines],
             positions: servers.iter().enumerate().map(|(at, one)| (one.id.clone(), at)).collect(),
             jobs: HashMap::new(),
             last_job: 0,
             callers,
             random,
         };
+        simulation.name_limits();
         for request in 0..simulation.callers.len() {
             let at = simulation.callers[request].arrival.at;
             simulation.schedule(at, Event::Arrive(request));
@@ -218,6 +229,18 @@
         simulation
     }
 
+    /// Lets the first host read the limits in responses; the others learn of them from it.
+    fn name_limits(&mut self) {
+        for limit in &self.setup.limits {
+            let server = server(limit.engine).id;
+            let rate = Some(limit.rate);
+            self.gateways[0].record_limit(self.now, &server, LimitVersion::default(), rate);
+        }
+        for host in 0..self.setup.hosts {
+            self.summarize(host, SummaryScope::All);
+        }
+    }
+
     fn schedule(&mut self, at: Moment, event: Event) {
         self.order += 1;
         self.queue.push(Reverse((at, self.order, event)));
@@ -277,12 +300,25 @@
             placement = self.place_by_count(request, placement);
         }
         match placement {
-            GatewayPlacement::Send(dispatch) => self.send(request, *dispatch),
+            GatewayPlacement::Send(dispatch) => self.send_by_limits(request, *dispatch),
             GatewayPlacement::Wait(time) => self.schedule(self.now + time, Event::Place(request)),
             GatewayPlacement::Refuse(refusal) => self.refuse(request, refusal),
         }
     }
 
+    /// Sends a request unless its engine names a limit and no permit is left; it is placed again then.
+    fn send_by_limits(&mut self, request: usize, dispatch: Dispatch) {
+        let host = self.callers[request].host;
+        if take_permit(&mut self.gateways, host, &dispatch.server.id, self.now) {
+            return self.send(request, dispatch);
+        }
+        self.gateways[host].finish(self.now, &dispatch);
+        if let Some(admitted) = self.callers[request].admitted.as_mut() {
+            self.gateways[host].after_send(self.now, admitted, &dispatch, &SendResult::Limited);
+        }
+        self.try_place(request);
+    }
+
     /// Replaces the gateway's placement with the engine that has the fewest requests from the same
     /// host.
     fn place_by_count(&mut self, request: usize, placement: GatewayPlacement) -> GatewayPlacement {
@@ -350,6 +386,7 @@
         let servers: Vec<usize> =
             job.dispatch.servers().map(|server| self.positions[&server.id]).collect();
         let urgency = job.dispatch.urgency.unwrap_or(DEFAULT_URGENCY);
+        self.engine_arrivals[job.first].push(self.now);
         for (at, engine) in servers.into_iter().enumerate() {
             match at {
                 0 => self.engines[engine].queue_prefill(id, tokens, ms, urgency),
@@ -508,7 +545,10 @@
     }
 
     fn report(&self) -> ReplayReport {
+        let count =
+            |limit: &EngineLimit| count_requests(*limit, &self.engine_arrivals[limit.engine]);
         let mut report = ReplayReport {
+            limits: self.setup.limits.iter().map(count).collect(),
             kinds: vec![KindResult::default(); self.load.kinds.len()],
             ..ReplayReport::default()
         };
--- a/workload/src/gateway/report.rs
+++ b/workload/src/gateway/report.rs
@@ -1,5 +1,7 @@
 //! The results of a replay: requests answered on time, late or not at all, and the worth earned.
 
+use super::limits::LimitResult;
+
 /// The outcomes of the requests of one kind.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct KindResult {
@@ -29,6 +31,8 @@
 pub struct ReplayReport {
     /// Results by kind, in the load's order.
     pub kinds: Vec<KindResult>,
+    /// The requests at the engines with limits.
+    pub limits: Vec<LimitResult>,
     /// The fraction of the worth earned in each two-second window of arrival times.
     pub windows: Vec<f64>,
     /// The same fractions by kind, in the load's order.
