--- a/lib/src/coordination/gateway/limits.rs
+++ b/lib/src/coordination/gateway/limits.rs
@@ -111,7 +111,7 @@
     }
 
     /// Returns what this host's message says of limits. Servers that this host doesn't list are left out,
-    /// so that none that is gone is mentioned for ever.
+    /// so that one that is gone is forgotten by all hosts.
     pub(crate) fn limit_news(&mut self, now: Moment) -> LimitNews {
         let is_fresh = |learned: Moment, source: LimitSource| {
             source == LimitSource::Response && now.since(learned) <= FRESH_TIME
--- a/lib/src/coordination/gateway/permits.rs
+++ b/lib/src/coordination/gateway/permits.rs
@@ -3,7 +3,7 @@
 //! One host, the arbiter, grants all permits for a limited server, from one token bucket. Each host
 //! chooses it by hash among the live hosts of a cell and states its choice in its messages. The bucket
 //! fills in proportion to the hosts that chose it, so that several arbiters, which hosts choose that
-//! cannot hear each other, together grant no more than one. See docs/design/server-limits.md.
+//! cannot hear each other, together grant no more than one. See docs/design/limited-servers.md.
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -33,7 +33,7 @@
 /// that the limit has ended.
 const MIN_RATE: RequestRate = RequestRate::from_micros(100_000);
 /// By how much more than the share of the hosts that chose it an arbiter grants, up to the whole limit, so that
-/// a few hosts that are gone for good don't lower it. Hosts that are split may exceed a limit by as much.
+/// a few hosts that don't come back don't lower it. Hosts that are split may exceed a limit by as much.
 const LOST_HOSTS_FACTOR: f64 = 1.1;
 /// How long a permit may be kept before its request is sent.
 const PERMIT_TTL: Duration = Duration::from_millis(500);
--- a/lib/tests/test_gateway_limits.rs
+++ b/lib/tests/test_gateway_limits.rs
@@ -33,11 +33,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Trouble {
     None,
-    /// Half of the hosts can't hear the other half, nor be heard by it.
+    /// No message passes between the two halves of the hosts.
     Split,
-    /// Half of the hosts are not heard by the others, which they hear.
+    /// No message passes from one half of the hosts to the other.
     OneWay,
-    /// The host that grants permits for the first server ends for good.
+    /// The host that grants permits for the first server ends and does not come back.
     ArbiterEnds,
     /// The hosts that grant permits do nothing for two seconds.
     ArbitersFreeze,
@@ -300,7 +300,7 @@
 }
 
 // Guards against limits that are kept by each host alone and not by all together (inc1, LIMIT), while hosts
-// can't hear each other, start or end as well.
+// are partitioned, start or end as well.
 #[test_case(LimitedFleet { hosts: 5, servers: 8, limits: &[1.0, 1.5], demand: 60.0, trouble: Trouble::None } ; "5 hosts")]
 #[test_case(LimitedFleet { hosts: 5, servers: 8, limits: &[0.0, 0.2, 8.0], demand: 60.0, trouble: Trouble::None } ; "5 hosts none and little")]
 #[test_case(LimitedFleet { hosts: 5, servers: 4, limits: &[2.0, 1.0, 2.0, 3.0], demand: 60.0, trouble: Trouble::None } ; "5 hosts all servers")]
@@ -411,7 +411,7 @@
     assert_eq!(gateway.limit_version(&server), LimitVersion(case.version));
 }
 
-// Guards against hosts that know different limits for good after each has read another one.
+// Guards against hosts that keep different limits after each has read another one.
 #[test]
 fn hosts_that_read_different_limits_keep_the_lower_one() {
     let server = ServerId::new("p-1", 1);
@@ -426,7 +426,7 @@
     assert_eq!(second.server_limit(&server), limit_of(2.0));
 }
 
-// Guards against limits of servers that are gone, which hosts would tell each other of for ever.
+// Guards against limits of servers that are gone and that hosts keep sending each other.
 #[test]
 fn a_server_that_is_gone_leaves_no_limit_behind() {
     let server = ServerId::new("p-1", 1);
