lib tests: deadlines at an engine with longer answers than estimated, failing

Traced from test_engine_fault_leaves_answers_whole::test_case_2_frozen, whose output now has the events of the refused request: after its engine was gone, the three others denied it as deadline_too_short with 20 s left, for an answer of 2 s.

--- a/cli/tests/test_failures_streams.rs
+++ b/cli/tests/test_failures_streams.rs
@@ -74,8 +74,8 @@
 fn explain(fleet: &Fleet, request: &str) -> String {
     let hosts = fleet.hosts.iter().filter_map(|host| host.operators().ok());
     let mut command = Command::new(env!("CARGO_BIN_EXE_wasabicrank"));
-    command.arg("why").args(hosts.map(|host| host.to_string())).arg(request);
-    let output = command.output().expect("the program runs");
+    command.arg("timeline").args(hosts.map(|host| host.to_string()));
+    let output = command.args(["--request", request, "--json"]).output().expect("the program runs");
     String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).into_owned()
 }
 
--- a/lib/tests/test_engine_queue.rs
+++ b/lib/tests/test_engine_queue.rs
@@ -107,6 +107,33 @@
     assert_eq!(denied.first().map(|(_, reason)| *reason), case.reason);
 }
 
+/// Answers that differ from the first estimate of an engine.
+struct LongAnswers {
+    tokens: u32,
+    decode: Duration,
+    /// How many times their time a request that is still granted has left.
+    left: f64,
+}
+
+// Guards against denials for lack of time at an engine whose answers are longer and faster than estimated: the
+// product of two averages, of length and of pace, was for a while many times as long as any answer.
+#[test_case(LongAnswers { tokens: 3_000, decode: Duration::from_secs(2), left: 10.0 } ; "long and fast")]
+#[test_case(LongAnswers { tokens: 3_000, decode: Duration::from_secs(10), left: 2.0 } ; "long")]
+#[test_case(LongAnswers { tokens: 256, decode: Duration::from_secs(1), left: 10.0 } ; "fast")]
+fn an_engine_does_not_expect_answers_longer_than_any(case: LongAnswers) {
+    let mut queue = queue();
+    for seq in 1..=40 {
+        let now = at(seq as f64 * 20.0);
+        let left = case.decode.mul_f64(case.left);
+        let request = StartRequest { output_tokens: case.tokens, left, ..request(seq, 200) };
+        queue.submit(now, Incarnation(1), request);
+        assert_eq!(by_reply(queue.poll(now)), (vec![seq], vec![]), "after {} answers", seq - 1);
+        queue.first_token(now, &first_token(seq));
+        let ended = Finished { output_tokens: case.tokens, decode: case.decode, ..finished(seq) };
+        queue.finished(now + case.decode, &ended);
+    }
+}
+
 #[test]
 fn short_requests_overtake_a_second_long_one() {
     let mut queue = queue();
