--- a/lib/tests/test_gateway_limits.rs
+++ b/lib/tests/test_gateway_limits.rs
@@ -530,3 +530,15 @@
     sent(gateway.place(at(100), &mut long));
     sent(gateway.place(at(101), &mut short));
 }
+
+// Guards against a limit that cannot end: a server that gets nothing says nothing.
+#[test]
+fn a_server_that_accepts_no_request_is_sent_one_in_ten_seconds() {
+    const STEP_MS: u64 = 250;
+    let mut gateway = gateway(1);
+    let server = ServerId::new("p-1", 1);
+    gateway.record_limit(at(0), &server, LimitVersion(0), limit_of(0.0));
+    let mut ask = |step: u64| gateway.request_permit(at(step * STEP_MS), &server);
+    let granted = (0..120).filter(|step| ask(*step) == PermitStep::Granted).count();
+    assert_eq!(granted, 2, "in 30 s");
+}
