engine queue: keep the estimate by length, bounded by the time of answers

The lower of both estimates is used now: the product of the averages where it holds, and the average time while they adapt.

--- a/lib/src/state/engine_queue_rate.rs
+++ b/lib/src/state/engine_queue_rate.rs
@@ -29,7 +29,7 @@
 /// The idle time after which a lowered rate is assumed to have recovered.
 const RECOVERY_TIME: Duration = Duration::from_secs(60);
 
-/// The weight of a new answer in the moving averages of token interval and answer time.
+/// The weight of a new answer in the moving averages of token interval, answer length and answer time.
 const DECODE_SAMPLE_WEIGHT: f64 = 0.1;
 
 /// Estimates the rates of one engine.
@@ -39,8 +39,9 @@
     nominal: f64,
     rate: f64,
     token_interval: f64,
-    /// The time that an answer takes after its first token, in seconds. Averaged by itself: the product of
-    /// the averages of length and interval exceeds any answer's time while both adapt to new answers.
+    answer_tokens: f64,
+    /// The time that an answer takes after its first token, in seconds. The product of length and interval
+    /// exceeds any answer's time while both averages adapt to new answers.
     answer_time: f64,
     /// The start of the current busy span or idle time.
     span_start: Moment,
@@ -62,6 +63,7 @@
             nominal: rate,
             rate,
             token_interval: token_interval.as_secs_f64(),
+            answer_tokens: f64::from(answer_tokens),
             answer_time: f64::from(answer_tokens) * token_interval.as_secs_f64(),
             span_start: Moment(0),
             read_tokens: 0.0,
@@ -99,6 +101,7 @@
         }
         let interval = span.as_secs_f64() / f64::from(tokens - 1);
         self.token_interval += (interval - self.token_interval) * DECODE_SAMPLE_WEIGHT;
+        self.answer_tokens += (f64::from(tokens) - self.answer_tokens) * DECODE_SAMPLE_WEIGHT;
         self.answer_time += (span.as_secs_f64() - self.answer_time) * DECODE_SAMPLE_WEIGHT;
     }
 
@@ -121,8 +124,8 @@
 
     /// Returns the expected time to generate an answer of at most `tokens`.
     pub(crate) fn answer_time(&self, tokens: u32) -> Duration {
-        let at_most = f64::from(tokens) * self.token_interval;
-        Duration::from_secs_f64(at_most.min(self.answer_time))
+        let expected = f64::from(tokens).min(self.answer_tokens) * self.token_interval;
+        Duration::from_secs_f64(expected.min(self.answer_time))
     }
 
     /// Returns the decode rate of one stream, in milli-tokens a second.
