--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -201,6 +201,8 @@
         self.revision = 100
         self.items, self.history = {}, []
         self.era = 1
+        # The key after which each page began that was asked for; None for the first page of a list.
+        self.list_calls = []
         self.listener = Listener(address, self.serve)
 
     def put(self, key, value):
@@ -239,6 +241,7 @@
             return (404, {}) if item is None else (200, {**item, "at": self.revision})
         prefix = query.get("prefix", "")
         if path == "/kv-range":
+            self.list_calls.append(query.get("after"))
             keys = sorted(key for key in self.items if key.startswith(prefix))
             keys = [key for key in keys if key > query.get("after", "")]
             page, size = [], 0
