--- a/review/5/case.py
+++ b/review/5/case.py
@@ -17,7 +17,8 @@
 
 
 async def scenario(rig):
-    engines = crashing.Engines(rig, 8, CRASHING)
+    # With TROUBLE=0 the same prompts are sent, and no engine crashes on the part.
+    engines = crashing.Engines(rig, 8, CRASHING, is_crashing=standins.TROUBLE)
     await rig.start(2, standins.config([crashing.draft_route()]))
     common = [f"aa{number:04x}" for number in range(COMMON)]
     begun, number, asked, next_crashing = rig.record.now(), 0, [], 2.0
--- a/review/standins/crashing.py
+++ b/review/standins/crashing.py
@@ -15,8 +15,8 @@
 class Engines:
     """What reached the engines, and their crashes."""
 
-    def __init__(self, rig, count, part):
-        self.rig, self.part = rig, part
+    def __init__(self, rig, count, part, is_crashing):
+        self.rig, self.part, self.is_crashing = rig, part, is_crashing
         self.arrivals, self.crashes, self.clients = [], [], {}
         for number in range(count):
             rig.add_server("engines", ["zone-a", "zone-b", "zone-c"][number % 3], 16, self.answer)
@@ -31,7 +31,7 @@
         await asyncio.sleep(PREFILL_S)
         writer.write(standins.stream_head(server.signed(request)))
         await writer.drain()
-        if has_part and standins.TROUBLE:
+        if has_part and self.is_crashing:
             if server.is_up:
                 self.crashes.append(record.now())
             return server.crash(DOWN_S)
--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -12,6 +12,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -63,6 +64,15 @@
 }
 
 
+def exit_unrun(kind, error, trace):
+    """An error outside the scenario means that the case could not run, not that a rule was broken."""
+    traceback.print_exception(kind, error, trace)
+    os._exit(2)
+
+
+sys.excepthook = exit_unrun
+
+
 class CannotRun(Exception):
     """The case could not run."""
 
@@ -601,6 +611,14 @@
     }
 
 
+def stop_at_once(rig, folder):
+    """Ends the hosts when the script is told to stop before its end."""
+    rig.record.line("could not run", error="told to stop")
+    rig.end()
+    shutil.rmtree(folder, ignore_errors=True)
+    os._exit(2)
+
+
 def main(scenario, case_folder):
     """Runs `scenario(rig)`, which returns a list of violations, and exits with the verdict."""
     record = Record(os.path.join(case_folder, "record.txt"))
@@ -612,6 +630,7 @@
         rig = None
         try:
             rig = Rig(record, folder)
+            signal.signal(signal.SIGTERM, lambda *_: stop_at_once(rig, folder))
 
             async def run():
                 return await asyncio.wait_for(scenario(rig), RUN_LIMIT_S)
