planned stop: answer requests that wait when a host stops

Cause: whether a request can be answered before the end was checked only when it was admitted. Those admitted before the stop waited on, and the process ended without looking at what was open.

Change: placement asks stop_refusal whenever a request is placed, with its expected wait and its expected time to the first event; what can't be answered in time is refused with 503 and a Retry-After by when the balancer has moved on. At the end, every request without a response gets its final one, 503 if no server can have it and else 502. Phases follow short grace periods, and the signals are received before the listeners open. At the own interface, what is open at stop_bound_s is not_run if no engine had it.

Why it works: a request is in placement, in a send, or has its response; the first is checked at each step, the second ends with the select at the end of the stop, and the process waits for the connections to close.

--- a/cli/tests/test_failures_stops.rs
+++ b/cli/tests/test_failures_stops.rs
@@ -123,6 +123,52 @@
     }
 }
 
+// Guards against answers that leave open whether a request ran which no engine had when
+// `stop_bound_s` was over.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn test_stop_bound_answers_every_open_request() {
+    let config = FleetConfig {
+        binary: Some(env!("CARGO_BIN_EXE_wasabicrank").into()),
+        entry_hosts: 1,
+        engines: 1,
+        services: 1,
+        engine: EngineConfig { speed: 1.0, ..EngineConfig::default() },
+        rules: FleetRules::default().text(&todays_customers()),
+        settings: serde_json::json!({ "stop_bound_s": 2 }),
+        ..FleetConfig::default()
+    };
+    let fleet = Fleet::start(config).await.expect("the fleet starts");
+    let hosts = fleet.callers();
+    let ready = wait_for_calls(&hosts, "token-1", PATH, WAIT_TIMEOUT).await;
+    assert!(ready.is_some(), "calls are still refused");
+    fleet.services[0].service.set_delay(WAIT_TIMEOUT);
+    let mut crowd = Crowd::default();
+    // More than one engine runs at a time, so that some wait.
+    crowd.send(&hosts, &streams(24, 4_000));
+    let key = Uuid::now_v7().to_string();
+    let client = Client::new();
+    let calling = call(&client, hosts[0], &key);
+    let stopping = async {
+        let held = wait_until(WAIT_TIMEOUT, async || fleet.held() > 0).await;
+        assert!(held.is_some(), "no streams run");
+        fleet.signal_host(0, Signal::Term).unwrap();
+    };
+    let (called, ()) = tokio::join!(calling, stopping);
+    let CallEnd::Refused(refused) = called else { panic!("{called:?}") };
+    assert_eq!((refused.outcome.as_str(), refused.reason.as_str()), ("unknown", "stopping"));
+    let mut unrun = 0;
+    for story in crowd.finish().await {
+        let CompletionEnd::Refused(refused) = &story.end else { panic!("{story:?}") };
+        assert_eq!(refused.reason, "stopping", "{story:?}");
+        assert!(story.tokens == 0 || refused.outcome == "failed", "{story:?}");
+        unrun += u32::from(refused.outcome == "not_run");
+    }
+    assert!(unrun > 0, "no request waited");
+    let process = fleet.hosts[0].process.as_ref().expect("a process");
+    let status = process.wait_exit(WAIT_TIMEOUT).await.expect("the process ends");
+    assert!(status.success(), "{status}: {:?}", process.log());
+}
+
 /// Sends short prompts and calls to all entry hosts for `span`, and asserts that all are answered.
 async fn send_work(fleet: &Fleet, span: Duration) {
     let (client, hosts) = (Client::new(), fleet.callers());
--- a/lib/src/coordination/gateway/permits.rs
+++ b/lib/src/coordination/gateway/permits.rs
@@ -262,6 +262,9 @@
         if turn > left.min(request.deadline.since(now)) {
             return self.refuse(request, limit_refusal(request, turn));
         }
+        if let Some(refusal) = self.stop_refusal(now, request, turn) {
+            return self.refuse(request, refusal);
+        }
         let placement = self.wait(now, request, value, Duration::ZERO, next, Duration::ZERO);
         if let (GatewayPlacement::Wait(delay), Some(ticket)) = (&placement, request.queue_ticket) {
             self.permits.queue.record_wait(now, ticket, &request.service, value, *delay);
--- a/lib/src/coordination/gateway/placement.rs
+++ b/lib/src/coordination/gateway/placement.rs
@@ -110,6 +110,9 @@
         if (now + MIN_SERVICE_TIME) >= request.deadline {
             return self.refuse(request, self.timeout_refusal(request));
         }
+        if let Some(refusal) = self.stop_refusal(now, request, Duration::ZERO) {
+            return self.refuse(request, refusal);
+        }
         self.review_isolations(now);
         if let Some(refusal) = self.isolation_refusal(now, request) {
             return self.refuse(request, lost_if_may_have_run(request, refusal));
@@ -200,6 +203,9 @@
         let is_deferrable = query.gap_class != GapClass::Tight;
         match outcome {
             EngineOutcome::Send(group) if !is_deferrable || !is_behind => {
+                if let Some(refusal) = self.stop_refusal(now, request, group.first_event) {
+                    return self.refuse(request, refusal);
+                }
                 self.leave_queue(request);
                 self.send_to_group(now, request, &profile, size, group)
             }
@@ -232,7 +238,8 @@
         }
     }
 
-    /// Queues `request`, or refuses it if its caller would leave before its turn.
+    /// Queues `request`, or refuses it if its caller would leave before its turn, or if this host
+    /// stops before it could be answered.
     pub(crate) fn wait(
         &mut self,
         now: Moment,
@@ -248,6 +255,9 @@
             let refusal = GatewayRefusal::retry_after(RefusalReason::Overload, retry_after);
             return self.refuse(request, lost_if_may_have_run(request, refusal));
         }
+        if let Some(refusal) = self.stop_refusal(now, request, delay + queue_time) {
+            return self.refuse(request, refusal);
+        }
         if request.queue_ticket.is_none() {
             request.queue_ticket = Some(self.queue.enter(now, value, prefill));
         }
--- a/lib/src/coordination/gateway/request.rs
+++ b/lib/src/coordination/gateway/request.rs
@@ -22,8 +22,6 @@
 
 /// The retry delay for callers of a host without a usable configuration.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// The retry delay for callers of a stopping host, which reach another host then.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// The shortest time that a caller is assumed to wait for the first event of a stream, whatever the
 /// route's objective; callers leave before their deadline.
 const MIN_STREAM_PATIENCE: Duration = Duration::from_secs(2);
@@ -119,9 +117,7 @@
             return refuse(RefusalReason::NoRoute);
         };
         if !self.accepts(now, route) {
-            let refusal =
-                GatewayRefusal::retry_after(RefusalReason::Stopping, STOPPING_RETRY_AFTER);
-            return Err(refusal);
+            return Err(self.stopping_refusal(now));
         }
         let mut customer = None;
         if catalog.requires_keys() && !route.public {
--- a/lib/src/coordination/node/calls.rs
+++ b/lib/src/coordination/node/calls.rs
@@ -295,6 +295,16 @@
         self.apply_home_outputs(now, outputs);
     }
 
+    /// Ends all open calls, because this process exits. Each is at its service or at the home of its
+    /// key, so it may have run.
+    pub(super) fn end_calls_at_stop(&mut self, now: Moment) {
+        let open: Vec<RequestId> = self.calls.open.keys().copied().collect();
+        for id in open {
+            let (outcome, reason) = (Outcome::Unknown, Reason::Stopping);
+            self.end_call(now, id, Err(Refusal { outcome, reason, retry_after: None }));
+        }
+    }
+
     /// Sends the final result of a call to its caller.
     fn end_call(&mut self, now: Moment, request: RequestId, result: Result<ServiceReply, Refusal>) {
         let Some(open) = self.calls.open.remove(&request) else { return };
--- a/lib/src/coordination/node/completions.rs
+++ b/lib/src/coordination/node/completions.rs
@@ -520,6 +520,15 @@
         }
     }
 
+    /// Gives every open request its final answer, because this process exits.
+    pub(super) fn end_all_at_stop(&mut self, now: Moment) {
+        let open: Vec<RequestId> = self.running.iter().map(|one| one.completion.id).collect();
+        for id in open {
+            self.refuse_request(now, id, Reason::Stopping, Some(STOP_RETRY));
+        }
+        self.end_calls_at_stop(now);
+    }
+
     /// Returns whether an attempt of this process is still active.
     pub(super) fn has_attempt(&self, attempt: AttemptId) -> bool {
         let Some(running) = self.running.get(attempt.request) else { return false };
--- a/lib/src/coordination/node/control.rs
+++ b/lib/src/coordination/node/control.rs
@@ -460,6 +460,7 @@
         if !done && !timed_out {
             return;
         }
+        self.end_all_at_stop(now.mono);
         self.record(Event::StopEnded { cut: u32::try_from(open).unwrap_or(u32::MAX) });
         self.emit(Output::Stopped);
     }
--- a/lib/src/state/gateway/engine_profile.rs
+++ b/lib/src/state/gateway/engine_profile.rs
@@ -48,6 +48,20 @@
         Duration::from_secs_f64((linear_ms + quadratic_ms).max(0.0) / 1_000.0)
     }
 
+    /// Returns how long an idle engine takes to generate `tokens`.
+    ///
+    /// ```
+    /// # use wasabicrank_lib::state::EngineProfile;
+    /// # let profile = EngineProfile {
+    /// #     slots: 16, memory_tokens: 450_000, step_ms: 0.925, prefill_rate: 256_000.0,
+    /// #     attention_ms: 0.0917, pass_steps: 46, mean_output: 1_540, joint_prefill: true,
+    /// # };
+    /// assert_eq!(profile.output_time(1_000).as_millis(), 925);
+    /// ```
+    pub fn output_time(&self, tokens: u64) -> Duration {
+        Duration::from_secs_f64(tokens as f64 * self.step_ms.max(0.0) / 1_000.0)
+    }
+
     /// Returns the duration of a scheduler pass without prefill, which is the usual gap between two
     /// events.
     pub fn pass_time(&self) -> Duration {
--- a/lib/src/transport/gateway/context.rs
+++ b/lib/src/transport/gateway/context.rs
@@ -10,6 +10,7 @@
 use http::response;
 use slog::info;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use super::clock::BootClock;
 use super::dialect::Dialect;
@@ -51,6 +52,8 @@
     pub(crate) buffer_limit: usize,
     /// The number of open caller connections.
     pub(crate) connections: Cell<usize>,
+    /// The phase of a planned stop that all tasks have been notified of.
+    pub(crate) stop_phase: watch::Sender<StopPhase>,
 }
 
 impl GatewayContext {
@@ -63,6 +66,12 @@
         self.gateway.borrow().stop_phase(self.now()) != StopPhase::Running
     }
 
+    /// Waits until a planned stop has reached `phase`.
+    pub(crate) async fn await_stop_phase(&self, phase: StopPhase) {
+        // The sender is a part of this context, so that waiting can't fail.
+        let _ = self.stop_phase.subscribe().wait_for(|reached| *reached >= phase).await;
+    }
+
     /// Records that `server` is leaving if its response `head` states so. Called as soon as the head
     /// has arrived, since the body may be long, incomplete or wrong.
     pub(crate) fn record_if_leaving(&self, server: &ServerId, head: &response::Parts) {
--- a/lib/src/transport/gateway/exchange.rs
+++ b/lib/src/transport/gateway/exchange.rs
@@ -46,6 +46,7 @@
 use crate::coordination::NextStep;
 use crate::coordination::RefusalReason;
 use crate::coordination::SendResult;
+use crate::coordination::StopPhase;
 use crate::state::LimitVersion;
 use crate::state::Moment;
 use crate::state::SendId;
@@ -83,7 +84,12 @@
         gateway.catalog().map_or(DEFAULT_BODY_BYTES, |catalog| catalog.limits().body_bytes)
     };
     let facts = ctx.dialect.request_facts(&head);
-    let body = read_body(&ctx, body, limit, BODY_TIMEOUT).await;
+    let body = tokio::select! {
+        body = read_body(&ctx, body, limit, BODY_TIMEOUT) => body,
+        () = ctx.await_stop_phase(StopPhase::Ended) => {
+            Err(BodyError::Refused(ctx.gateway.borrow().stopping_refusal(ctx.now())))
+        }
+    };
     let id = facts.as_ref().map(|facts| facts.id.clone()).unwrap_or_default();
     let early = |refusal| Ok(refuse_early(&ctx, &id, &head, refusal));
     let body = match body {
@@ -112,7 +118,11 @@
         silent_send: Cell::new(None),
         longest_pause: Cell::new(Duration::ZERO),
     };
-    Ok(match exchange.run().await {
+    let answer = tokio::select! {
+        answer = exchange.run() => answer,
+        () = exchange.ctx.await_stop_phase(StopPhase::Ended) => exchange.end_at_stop(),
+    };
+    Ok(match answer {
         Answer::Response(response) => response,
         Answer::Stream(start) => start.start(exchange),
     })
@@ -482,6 +492,14 @@
         Ok(Answer::Stream(Box::new(StreamStart { send: active, head, relay })))
     }
 
+    /// Returns the final response to a request that is without one at the end of a planned stop.
+    fn end_at_stop(&self) -> Answer {
+        self.leave_queue();
+        let now = self.ctx.now();
+        let refusal = self.ctx.gateway.borrow().final_refusal(now, &self.request.borrow());
+        Answer::Response(self.refuse(refusal))
+    }
+
     fn refuse(&self, refusal: GatewayRefusal) -> Response<ResponseBody> {
         let name = refusal.reason.name();
         self.record_end(name, LineKind::Failure, refusal.reason.status(), Some(&refusal));
--- a/lib/src/transport/gateway/listener.rs
+++ b/lib/src/transport/gateway/listener.rs
@@ -19,12 +19,12 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
 use tokio::time::sleep;
 
 use super::context::GatewayContext;
 use super::exchange;
 use super::response_body::ResponseBody;
+use crate::coordination::StopPhase;
 
 /// The length of the listen backlog.
 const ACCEPT_BACKLOG: u32 = 1_024;
@@ -47,11 +47,10 @@
     socket.listen(ACCEPT_BACKLOG)
 }
 
-/// Accepts and serves callers' connections; once `closing` is set, connections are closed when idle.
+/// Accepts and serves callers' connections; in a planned stop they are closed when idle.
 pub(crate) async fn accept_callers(
     ctx: Rc<GatewayContext>,
     listener: TcpListener,
-    closing: watch::Receiver<bool>,
     max_connections: usize,
 ) {
     loop {
@@ -61,8 +60,7 @@
         }
         match listener.accept().await {
             Ok((stream, _)) => {
-                let connection = serve_caller(ctx.clone(), stream, closing.clone());
-                tokio::task::spawn_local(connection);
+                tokio::task::spawn_local(serve_caller(ctx.clone(), stream));
             }
             Err(error) => {
                 warn!(ctx.telemetry.log(), "a connection cannot be accepted"; "error" => %error);
@@ -80,11 +78,7 @@
     }
 }
 
-async fn serve_caller(
-    ctx: Rc<GatewayContext>,
-    stream: TcpStream,
-    mut closing: watch::Receiver<bool>,
-) {
+async fn serve_caller(ctx: Rc<GatewayContext>, stream: TcpStream) {
     ctx.connections.set(ctx.connections.get() + 1);
     let _open = OpenConnection(ctx.clone());
     if let Err(error) = stream.set_nodelay(true) {
@@ -107,7 +101,7 @@
     let mut connection = std::pin::pin!(connection);
     let done = tokio::select! {
         done = connection.as_mut() => Some(done),
-        _ = closing.wait_for(|is_closing| *is_closing) => None,
+        () = ctx.await_stop_phase(StopPhase::Closing) => None,
     };
     // An error means that the caller disconnected or a response was aborted; the exchange logged it.
     let _ = match done {
--- a/lib/src/transport/gateway/process.rs
+++ b/lib/src/transport/gateway/process.rs
@@ -13,6 +13,7 @@
 use slog::info;
 use slog::warn;
 use tokio::runtime::Builder;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::Notify;
@@ -133,16 +134,18 @@
         buffered_bytes: Cell::new(0),
         buffer_limit: (settings.memory_mb / BODY_MEMORY_DIVISOR) as usize * 1024 * 1024,
         connections: Cell::new(0),
+        stop_phase: watch::Sender::new(StopPhase::Running),
     });
-    let (close, closing) = watch::channel(false);
-    start_listeners(&ctx, &settings, closing).await?;
+    // A signal that comes before the listeners are open begins a planned stop as well.
+    let signals = StopSignals::receive().map_err(GatewayError::Runtime)?;
+    start_listeners(&ctx, &settings).await?;
     let (updates, received) = mpsc::channel(UPDATE_QUEUE_LEN);
     tokio::task::spawn_local(source.follow(updates, ctx.clone()));
     tokio::task::spawn_local(apply_updates(ctx.clone(), received));
     tokio::task::spawn_local(run_maintenance(ctx.clone()));
     tokio::task::spawn_local(reload_on_signal(ctx.clone(), path));
-    wait_for_stop().await?;
-    stop(&ctx, &settings, &close).await;
+    signals.wait().await;
+    stop(&ctx, &settings).await;
     Ok(())
 }
 
@@ -154,7 +157,6 @@
 async fn start_listeners(
     ctx: &Rc<GatewayContext>,
     settings: &GatewaySettings,
-    closing: watch::Receiver<bool>,
 ) -> Result<(), GatewayError> {
     let listen = |purpose, address| {
         listener::listen(address).map_err(|error| GatewayError::Listen {
@@ -173,7 +175,7 @@
     })?;
     // Each request uses one descriptor for its caller and one for a server.
     let most = settings.descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(2) / 2;
-    let accept = listener::accept_callers(ctx.clone(), callers, closing, most as usize);
+    let accept = listener::accept_callers(ctx.clone(), callers, most as usize);
     tokio::task::spawn_local(accept);
     tokio::task::spawn_local(listener::accept_readiness(ctx.clone(), health));
     tokio::task::spawn_local(listener::accept_metrics(ctx.clone(), metrics));
@@ -184,34 +186,49 @@
     Ok(())
 }
 
-async fn wait_for_stop() -> Result<(), GatewayError> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(GatewayError::Runtime)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(GatewayError::Runtime)?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// The signals that begin a planned stop. Further ones change nothing.
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    fn receive() -> io::Result<StopSignals> {
+        Ok(StopSignals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn wait(mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
-    Ok(())
 }
 
 /// Stops without aborting requests: the balancer directs new connections to other hosts, open
-/// connections are closed when idle, and the process ends when none is left or the grace period is over.
-async fn stop(ctx: &Rc<GatewayContext>, settings: &GatewaySettings, close: &watch::Sender<bool>) {
+/// connections are closed when idle, requests that would not be answered in time are refused, and the
+/// process ends when no connection is left or the grace period is over.
+async fn stop(ctx: &Rc<GatewayContext>, settings: &GatewaySettings) {
     let grace = settings.grace();
     info!(ctx.telemetry.log(), "stop begins"; "grace_ms" => grace.as_millis() as u64,
-        "connections" => ctx.connections.get());
+        "connections" => ctx.connections.get(), "waiting" => ctx.gateway.borrow().queue_len());
     ctx.gateway.borrow_mut().begin_stop(ctx.now(), grace);
     ctx.load_changed.notify_one();
+    // Waiting requests are placed again, or refused if this host can't answer them in time.
+    ctx.capacity_freed.notify_waiters();
     loop {
-        let phase = ctx.gateway.borrow().stop_phase(ctx.now());
-        let is_closing = phase != StopPhase::Serving;
-        if is_closing && close.send(true).is_err() {
-            info!(ctx.telemetry.log(), "no connection listens for the stop");
-        }
-        if phase == StopPhase::Ended || (is_closing && ctx.connections.get() == 0) {
+        let now = ctx.now();
+        let phase = ctx.gateway.borrow().stop_phase(now);
+        ctx.stop_phase.send_if_modified(|reached| std::mem::replace(reached, phase) != phase);
+        let is_idle = phase >= StopPhase::Closing && ctx.connections.get() == 0;
+        if phase == StopPhase::Exited || is_idle {
             break;
         }
-        sleep(STOP_POLL_INTERVAL).await;
+        let next = ctx.gateway.borrow().next_stop_phase_in(now).unwrap_or_default();
+        sleep(STOP_POLL_INTERVAL.min(next)).await;
     }
     info!(ctx.telemetry.log(), "stop ends"; "connections" => ctx.connections.get());
 }
