keys: a configuration whose customers have no keys admits nobody

Cause: keys were required if the table of keys was not empty, and the adapter dropped the difference between a configuration without customers and one whose customers have no keys.

--- a/lib/examples/placement_cost.rs
+++ b/lib/examples/placement_cost.rs
@@ -4,7 +4,6 @@
 //! cargo run --release -p wasabicrank-lib --example placement_cost
 //! ```
 
-use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 use std::time::Instant;
@@ -74,7 +73,7 @@
             head_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         },
-        keys: HashMap::new(),
+        keys: None,
     })
 }
 
--- a/lib/src/coordination/gateway/request.rs
+++ b/lib/src/coordination/gateway/request.rs
@@ -150,15 +150,16 @@
         })
     }
 
-    /// Picks one of a route's services at random, by their weights.
+    /// Picks one of a route's services at random, by their weights; none has the empty name, which no
+    /// server serves.
     fn pick_service(&mut self, route: &Route) -> ServiceName {
-        let total: u32 = route.backends.iter().map(|backend| backend.weight).sum();
+        let total: u64 = route.backends.iter().map(|backend| u64::from(backend.weight)).sum();
         let mut left = if total > 0 { self.random.random_range(0..total) } else { 0 };
         for backend in &route.backends {
-            if left < backend.weight || total == 0 {
+            if left < u64::from(backend.weight) {
                 return backend.service.clone();
             }
-            left -= backend.weight;
+            left -= u64::from(backend.weight);
         }
         ServiceName::new("")
     }
--- a/lib/src/state/gateway/catalog.rs
+++ b/lib/src/state/gateway/catalog.rs
@@ -123,8 +123,9 @@
     pub services: Vec<ServiceSpec>,
     /// The limits on callers' requests.
     pub limits: CallerLimits,
-    /// The customers by key; if there are none, requests need no key.
-    pub keys: HashMap<String, Customer>,
+    /// The customers by key, outside public routes; `None` if requests need no key. An empty table
+    /// admits no request.
+    pub keys: Option<HashMap<String, Customer>>,
 }
 
 /// One version of the operator's configuration, indexed for lookups.
@@ -134,7 +135,7 @@
     hosts: HashMap<String, Vec<Arc<Route>>>,
     services: HashMap<ServiceName, ServiceSpec>,
     limits: CallerLimits,
-    keys: HashMap<String, Customer>,
+    keys: Option<HashMap<String, Customer>>,
 }
 
 impl Catalog {
@@ -173,12 +174,12 @@
 
     /// Returns whether requests need a customer key, except on public routes.
     pub fn requires_keys(&self) -> bool {
-        !self.keys.is_empty()
+        self.keys.is_some()
     }
 
     /// Returns the customer that `key` belongs to.
     pub fn customer(&self, key: &str) -> Option<&Customer> {
-        self.keys.get(key)
+        self.keys.as_ref()?.get(key)
     }
 
     /// Returns the configuration of the service called `name`.
--- a/lib/src/transport/gateway/process.rs
+++ b/lib/src/transport/gateway/process.rs
@@ -325,11 +325,12 @@
         FleetUpdate::Catalog { catalog, sent, point } => {
             report_rewind(log, &mut gateway, point, catalog.version());
             let version = catalog.version();
-            let routes = catalog.route_count();
+            let (routes, requires_keys) = (catalog.route_count(), catalog.requires_keys());
             match gateway.install_catalog(*catalog, sent) {
                 CatalogChange::Accepted(before) => {
                     info!(log, "configuration accepted"; "catalog_version" => version,
                         "before" => before.unwrap_or(0), "routes" => routes,
+                        "requires_keys" => requires_keys,
                         "read_age_ms" => now.since(sent).as_millis() as u64);
                     ctx.load_changed.notify_one();
                 }
--- a/lib/tests/gateways/mod.rs
+++ b/lib/tests/gateways/mod.rs
@@ -2,7 +2,6 @@
 
 #![allow(dead_code)]
 
-use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
@@ -66,7 +65,7 @@
             head_timeout: ms(3_000),
             idle_timeout: ms(15_000),
         },
-        keys: HashMap::from([(KEY.to_owned(), customer)]),
+        keys: Some(HashMap::from([(KEY.to_owned(), customer)])),
     }
 }
 
--- a/lib/tests/test_gateway_requests.rs
+++ b/lib/tests/test_gateway_requests.rs
@@ -43,6 +43,22 @@
     assert!(refusal.retry_after.is_some());
 }
 
+// Guards against a request that runs at a service which has no share of its route.
+#[test]
+fn a_route_whose_services_have_no_share_sends_nothing() {
+    let mut gateway = empty_gateway(1);
+    let mut parts = parts(1);
+    for backend in parts.routes.iter_mut().flat_map(|route| &mut route.backends) {
+        backend.weight = 0;
+    }
+    gateway.install_catalog(Catalog::new(parts), at(0));
+    gateway.apply_server(ServerChange::Listed(server("p-1", "plain", 3)));
+    let mut request = gateway.admit(at(0), &facts("/often/x")).unwrap();
+    let placement = gateway.place(at(0), &mut request);
+    let GatewayPlacement::Refuse(refusal) = placement else { panic!("{placement:?}") };
+    assert_eq!(refusal.reason, RefusalReason::NoServer);
+}
+
 #[test]
 fn the_longest_prefix_determines_the_service() {
     let mut gateway = gateway(1);
--- a/workload/src/gateway/fleet.rs
+++ b/workload/src/gateway/fleet.rs
@@ -1,6 +1,5 @@
 //! The hosts and engines of a replay.
 
-use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -97,7 +96,7 @@
             head_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         },
-        keys: HashMap::new(),
+        keys: None,
     };
     gateway.install_catalog(Catalog::new(parts), Moment(0));
     for server in servers {
