isolation: report all parts of a prompt whose server crashed

Cause: a report kept the first 16 parts of a prompt, so that the part was a suspect of no crash.

Change: prompts and reports keep as many parts as a head of 16 KiB can list. Messages leave out parts that were answered after the crash, and send what does not fit with the next message. Answers under suspects can't be pushed out, and are announced also after their witness has isolated the right part. The longest message fits into a datagram. Reports that are dropped are counted.

Why it works: no bound that a head can reach is left between the prompt and the decision.

--- a/lib/src/coordination/gateway/isolation.rs
+++ b/lib/src/coordination/gateway/isolation.rs
@@ -16,6 +16,8 @@
 use crate::state::CrashReport;
 use crate::state::EventTime;
 use crate::state::IsolationChange;
+use crate::state::KnownReport;
+use crate::state::MAX_PARTS;
 use crate::state::Moment;
 use crate::state::PartId;
 use crate::state::ServicePart;
@@ -27,11 +29,12 @@
 const MAX_ANSWER_DELAY: Duration = Duration::from_millis(150);
 /// How often the isolated parts are worked out again while the evidence stays the same but gets older.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(50);
-/// The most reports and answers in one message.
+/// The most reports and answers in one message, and the most parts in all its reports: those of one of
+/// the longest prompts. With the loads this stays below the longest datagram; what is left over goes with
+/// the next messages.
 pub(crate) const MAX_NEWS_REPORTS: usize = 40;
-pub(crate) const MAX_NEWS_ANSWERS: usize = 64;
-/// The most parts in one report.
-pub(crate) const MAX_REPORT_PARTS: usize = 16;
+pub(crate) const MAX_NEWS_ANSWERS: usize = 512;
+pub(crate) const MAX_NEWS_PARTS: usize = MAX_PARTS;
 /// The age that is added to an answer in a message that acknowledges none of this host's: it may have
 /// been in transit for long.
 const UNKNOWN_TRANSIT: Duration = Duration::from_secs(15);
@@ -89,6 +92,8 @@
 pub(crate) struct Isolations {
     pub(crate) evidence: CrashEvidence,
     last_report: u64,
+    /// The number of messages so far. They begin with different reports if not all fit.
+    messages: usize,
     /// The answers that this host has announced, and when.
     announced: HashMap<ServicePart, (EventTime, Moment)>,
     /// When this host announces the answers that no host has announced.
@@ -123,17 +128,17 @@
             return;
         }
         self.announce_at = None;
-        for (part, began) in unannounced.into_iter().take(MAX_NEWS_ANSWERS) {
+        let room = MAX_NEWS_ANSWERS.saturating_sub(self.announced.len());
+        for (part, began) in unannounced.into_iter().take(room) {
             self.evidence.learn_answer(part, began);
             self.announced.insert(part, (began, now));
         }
         self.rounds.begin(now);
     }
 
-    fn news(&self, now: Moment) -> CrashNews {
+    fn news(&mut self, now: Moment) -> CrashNews {
+        self.messages = self.messages.wrapping_add(1);
         let is_fresh = |at: Moment| now.since(at) <= FRESH_TIME;
-        let notice =
-            |report: &CrashReport| CrashNotice { age: report.at.age(now), report: report.clone() };
         let (fresh, known): (Vec<_>, Vec<_>) = self
             .evidence
             .reports()
@@ -142,20 +147,63 @@
         // A host that starts needs the reports on isolated parts most.
         let (isolating, other): (Vec<_>, Vec<_>) =
             known.into_iter().partition(|known| self.evidence.supports_isolation(&known.report));
-        let known = fresh.iter().chain(&isolating).chain(&other);
-        let mut reports: Vec<CrashNotice> = known.map(|known| notice(&known.report)).collect();
-        reports.truncate(MAX_NEWS_REPORTS);
+        let mut reports = ReportList::default();
+        let fresh = reports.fill(now, self.rotated(&fresh), &self.evidence);
+        let isolating = reports.fill(now, self.rotated(&isolating), &self.evidence);
+        reports.fill(now, other.into_iter(), &self.evidence);
+        let reports = reports.notices;
         let own = self.announced.iter().filter(|(_, (_, announced))| is_fresh(*announced));
         let mut answers: Vec<AnswerNotice> = own
             .map(|(part, (began, _))| AnswerNotice { part: *part, age: began.age(now) })
             .collect();
-        let lasting = (fresh.len() + isolating.len()).min(MAX_NEWS_REPORTS);
-        let fresh = (fresh.len().min(MAX_NEWS_REPORTS), answers.len());
+        let lasting = fresh + isolating;
+        let fresh = (fresh, answers.len());
         let announced = self.evidence.announced();
         answers.extend(announced.map(|(part, began)| AnswerNotice { part, age: began.age(now) }));
         answers.truncate(MAX_NEWS_ANSWERS);
         CrashNews { reports, answers, fresh, lasting }
     }
+
+    /// Returns `reports`, each message beginning with another one if not all of them fit.
+    fn rotated<'a>(
+        &self,
+        reports: &'a [&'a KnownReport],
+    ) -> impl Iterator<Item = &'a KnownReport> + use<'a> {
+        let parts: usize = reports.iter().map(|known| known.report.parts.len()).sum();
+        let is_full = reports.len() > MAX_NEWS_REPORTS || parts > MAX_NEWS_PARTS;
+        let first = if is_full { self.messages % reports.len() } else { 0 };
+        reports[first..].iter().chain(&reports[..first]).copied()
+    }
+}
+
+/// The reports in one message.
+#[derive(Default)]
+struct ReportList {
+    notices: Vec<CrashNotice>,
+    parts: usize,
+}
+
+impl ReportList {
+    /// Adds those of `reports` that fit, without the parts that explain nothing; returns their number.
+    fn fill<'a>(
+        &mut self,
+        now: Moment,
+        reports: impl Iterator<Item = &'a KnownReport>,
+        evidence: &CrashEvidence,
+    ) -> usize {
+        let before = self.notices.len();
+        for KnownReport { report, .. } in reports {
+            let parts = evidence.open_suspects(report);
+            let has_room =
+                self.notices.len() < MAX_NEWS_REPORTS && self.parts + parts.len() <= MAX_NEWS_PARTS;
+            if has_room && !parts.is_empty() {
+                self.parts += parts.len();
+                let report = CrashReport { parts, ..report.clone() };
+                self.notices.push(CrashNotice { age: report.at.age(now), report });
+            }
+        }
+        self.notices.len() - before
+    }
 }
 
 impl Gateway {
@@ -186,7 +234,7 @@
             customer,
             at: now.into(),
             has_begun,
-            parts: parts[..parts.len().min(MAX_REPORT_PARTS)].to_vec(),
+            parts: parts.to_vec(),
         };
         self.isolations.evidence.record_crash(now, report, true);
         self.isolations.reviewed = None;
@@ -216,6 +264,11 @@
         std::mem::take(&mut self.isolations.changes)
     }
 
+    /// Returns the number of crash reports that were dropped because too many came.
+    pub fn dropped_crash_reports(&self) -> u64 {
+        self.isolations.evidence.dropped_reports()
+    }
+
     /// Returns the number of isolated parts.
     pub fn isolated_count(&self) -> usize {
         self.isolations.evidence.isolated().len()
--- a/lib/src/protocol/gateway/crash_wire.rs
+++ b/lib/src/protocol/gateway/crash_wire.rs
@@ -9,8 +9,8 @@
 use crate::coordination::CrashNews;
 use crate::coordination::CrashNotice;
 use crate::coordination::MAX_NEWS_ANSWERS;
+use crate::coordination::MAX_NEWS_PARTS;
 use crate::coordination::MAX_NEWS_REPORTS;
-use crate::coordination::MAX_REPORT_PARTS;
 use crate::state::CrashReport;
 use crate::state::EventTime;
 use crate::state::Moment;
@@ -75,7 +75,7 @@
     fn from(wire: WireCrashes) -> CrashNews {
         let reports = wire.reports.into_iter().take(MAX_NEWS_REPORTS).map(|report| {
             let age = duration(report.age_ms);
-            let parts = report.parts.into_iter().take(MAX_REPORT_PARTS).map(PartId).collect();
+            let parts = report.parts.into_iter().take(MAX_NEWS_PARTS).map(PartId).collect();
             let (id, service, server) = (report.id, report.service, report.server);
             let (customer, has_begun) = (report.customer, report.has_begun);
             // The receiver sets the time by its own clock.
--- a/lib/src/protocol/gateway/load_wire.rs
+++ b/lib/src/protocol/gateway/load_wire.rs
@@ -20,8 +20,8 @@
 /// Version of the datagram format; datagrams of other versions are dropped.
 const WIRE_VERSION: u8 = 2;
 
-/// Maximum length of a received datagram, in bytes.
-pub const MAX_DATAGRAM: usize = 16 * 1024;
+/// Maximum length of a received datagram, in bytes: that of UDP over IPv4.
+pub const MAX_DATAGRAM: usize = 65_507;
 
 /// Response values are sent as integers in units of a tenth.
 const VALUE_SCALE: f64 = 10.0;
--- a/lib/src/state/gateway/crash_evidence.rs
+++ b/lib/src/state/gateway/crash_evidence.rs
@@ -10,6 +10,10 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
+use rustc_hash::FxHashSet;
+
+use super::prompt_part::MAX_PARTS;
 use crate::state::AnsweredParts;
 use crate::state::Moment;
 use crate::state::PartId;
@@ -40,8 +44,10 @@
 /// How long after an isolation has lapsed one crash suffices for the next one.
 const LAPSED_TTL: Duration = Duration::from_secs(3_600);
 const MAX_LAPSED: usize = 256;
-/// The most reports that are kept.
+/// The most reports that are kept, and the most parts in them: those of more of the longest prompts than it
+/// takes to isolate a part.
 const MAX_REPORTS: usize = 256;
+const MAX_REPORTED_PARTS: usize = 8 * MAX_PARTS;
 
 /// A time by this process's clock, in microseconds; it may be before the process started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -194,6 +200,9 @@
     reports: VecDeque<KnownReport>,
     /// The crashes that the reports are on, in their order.
     crashes: Vec<Crash>,
+    /// The suspects of all crashes, each with the newest answer that this host saw under it. Long
+    /// prompts can't displace these answers.
+    suspects: FxHashMap<ServicePart, Option<Moment>>,
     /// The parts under which this host saw answers.
     answered: AnsweredParts,
     /// The newest answers under suspected parts that hosts have announced.
@@ -201,6 +210,7 @@
     isolated: BTreeMap<ServicePart, Isolation>,
     lapsed: HashMap<ServicePart, Moment>,
     trusted: BTreeSet<PartId>,
+    dropped_reports: u64,
 }
 
 impl CrashEvidence {
@@ -227,18 +237,34 @@
             return false;
         }
         self.reports.push_back(KnownReport { report, learned: now, is_own });
-        if self.reports.len() > MAX_REPORTS {
-            self.drop_report();
+        let mut parts: usize = self.reports.iter().map(|known| known.report.parts.len()).sum();
+        while self.reports.len() > MAX_REPORTS || parts > MAX_REPORTED_PARTS {
+            parts -= self.drop_report();
         }
         self.rebuild_crashes();
         true
     }
 
-    /// Drops the oldest report that no isolation is due to.
-    fn drop_report(&mut self) {
+    /// Drops the oldest report that no isolation is due to; returns the number of its parts.
+    fn drop_report(&mut self) -> usize {
         let position =
             self.reports.iter().position(|known| !self.supports_isolation(&known.report));
-        self.reports.remove(position.unwrap_or(0));
+        self.dropped_reports += 1;
+        let dropped = self.reports.remove(position.unwrap_or(0));
+        dropped.map_or(0, |known| known.report.parts.len())
+    }
+
+    /// Returns the number of reports that were dropped because too many came.
+    pub fn dropped_reports(&self) -> u64 {
+        self.dropped_reports
+    }
+
+    /// Returns the parts of a report under which no answer began after the crash. The others explain
+    /// it to nobody.
+    pub(crate) fn open_suspects(&self, report: &CrashReport) -> Vec<PartId> {
+        let is_open = |part: &ServicePart| self.last_answer(*part).is_none_or(|at| at < report.at);
+        let parts = service_parts(report.service, &report.parts).into_iter();
+        parts.filter(is_open).map(|part| part.part).collect()
     }
 
     /// Returns whether a report is on a crash under an isolated part.
@@ -251,6 +277,9 @@
     /// long enough that it crashes no server.
     pub fn record_answer(&mut self, service: u32, parts: &[PartId], began: Moment) {
         for part in service_parts(service, parts) {
+            if let Some(newest) = self.suspects.get_mut(&part) {
+                *newest = (*newest).max(Some(began));
+            }
             self.answered.insert(part, began);
         }
     }
@@ -291,8 +320,12 @@
 
     /// Returns whether a prompt has a part that may have crashed several servers.
     pub fn is_suspected(&self, service: u32, parts: &[PartId]) -> bool {
-        service_parts(service, parts).into_iter().any(|part| {
-            let tally = self.tally(part, |_| true);
+        let own: FxHashSet<ServicePart> = service_parts(service, parts)
+            .into_iter()
+            .filter(|part| self.is_watched(*part))
+            .collect();
+        let tallies = self.tallies(|part, _| own.contains(part));
+        tallies.into_iter().any(|(part, tally)| {
             tally.weight >= WEIGHT_OF_SUSPECTED_PART.min(self.weight_needed(part))
         })
     }
@@ -354,12 +387,11 @@
         let is_settled = |part: &ServicePart, suspicion: &Suspicion| {
             self.lapsed.contains_key(part) || now.since(suspicion.learned) >= SETTLE_TIME
         };
-        let candidates: BTreeSet<ServicePart> =
-            self.unexplained().flat_map(|crash| crash.suspects.keys().copied()).collect();
-        candidates
+        let counts = |part: &ServicePart, suspicion: &Suspicion| {
+            !self.trusted.contains(&part.part) && is_settled(part, suspicion)
+        };
+        self.tallies(counts)
             .into_iter()
-            .filter(|part| !self.trusted.contains(&part.part))
-            .map(|part| (part, self.tally(part, |suspicion| is_settled(&part, suspicion))))
             .filter(|(part, tally)| tally.weight >= self.weight_needed(*part))
             .max_by_key(|(part, tally)| {
                 (tally.weight, self.last_answer(*part).is_none(), tally.position, *part)
@@ -370,16 +402,21 @@
         self.crashes.iter().filter(|crash| !crash.is_explained)
     }
 
-    /// Counts the unexplained crashes under a part since its last answer.
-    fn tally(&self, part: ServicePart, counts: impl Fn(&Suspicion) -> bool) -> Tally {
-        let answered = self.last_answer(part);
-        let mut tally = Tally::default();
-        for crash in self.unexplained().filter(|crash| answered.is_none_or(|at| crash.at > at)) {
-            if let Some(suspicion) = crash.suspects.get(&part).filter(|one| counts(one)) {
-                tally.add(crash.at, suspicion);
+    /// Counts the unexplained crashes under each part since its last answer.
+    fn tallies(
+        &self,
+        counts: impl Fn(&ServicePart, &Suspicion) -> bool,
+    ) -> FxHashMap<ServicePart, Tally> {
+        let mut tallies: FxHashMap<ServicePart, Tally> = FxHashMap::default();
+        // In the order of the crashes, which the tally of each part needs.
+        for crash in self.unexplained() {
+            for (part, suspicion) in crash.suspects.iter().filter(|(part, one)| counts(part, one)) {
+                if self.last_answer(*part).is_none_or(|at| crash.at > at) {
+                    tallies.entry(*part).or_default().add(crash.at, suspicion);
+                }
             }
         }
-        tally
+        tallies
     }
 
     fn weight_needed(&self, part: ServicePart) -> u32 {
@@ -400,7 +437,8 @@
     }
 
     fn own_answer(&self, part: ServicePart) -> Option<EventTime> {
-        self.answered.get(part).map(EventTime::from)
+        let known = self.suspects.get(&part).copied().flatten();
+        known.max(self.answered.get(part)).map(EventTime::from)
     }
 
     fn clear_reason(&self, part: ServicePart, isolation: &Isolation) -> ClearReason {
@@ -417,7 +455,7 @@
 
     /// Returns whether a part is a suspect of any crash.
     fn is_watched(&self, part: ServicePart) -> bool {
-        self.crashes.iter().any(|crash| crash.suspects.contains_key(&part))
+        self.suspects.contains_key(&part)
     }
 
     fn rebuild_crashes(&mut self) {
@@ -455,6 +493,14 @@
         }
         crashes.sort_by_key(|crash| crash.at);
         self.crashes = crashes;
+        let before = std::mem::take(&mut self.suspects);
+        let parts = self.crashes.iter().flat_map(|crash| crash.suspects.keys().copied());
+        self.suspects = parts
+            .map(|part| {
+                let answer = before.get(&part).copied().flatten();
+                (part, answer.or_else(|| self.answered.get(part)))
+            })
+            .collect();
         for crash in &mut self.crashes {
             let is_isolated = |part: &ServicePart| self.isolated.contains_key(part);
             crash.is_explained = crash.suspects.keys().any(is_isolated);
@@ -477,7 +523,8 @@
     /// Returns the answers of this host that may clear a suspected part, and that no host has announced.
     pub(crate) fn unannounced_answers(&self) -> Vec<(ServicePart, EventTime)> {
         let mut last_crashes: BTreeMap<ServicePart, EventTime> = BTreeMap::new();
-        for crash in self.unexplained() {
+        // Also of crashes that are explained here: another host may explain them by a sound part.
+        for crash in &self.crashes {
             last_crashes.extend(crash.suspects.keys().map(|part| (*part, crash.at)));
         }
         for (part, isolation) in &self.isolated {
--- a/lib/src/state/gateway/prompt_part.rs
+++ b/lib/src/state/gateway/prompt_part.rs
@@ -2,8 +2,11 @@
 
 use std::fmt;
 
-/// The most parts of one prompt that are kept.
-const MAX_PARTS: usize = 64;
+use rustc_hash::FxHashSet;
+
+/// The most parts of one prompt that are kept: as many different ids as a head of 16 KiB can list, which is
+/// the longest one by default.
+pub(crate) const MAX_PARTS: usize = 4_096;
 /// The most digits of an id that is kept as a number.
 const MAX_DIGITS: usize = 16;
 
@@ -56,12 +59,13 @@
     /// ```
     pub fn from_prompt(parts: impl IntoIterator<Item = PartId>) -> SharedParts {
         let mut shared = Vec::new();
+        let mut seen = FxHashSet::default();
         let mut parts = parts.into_iter().peekable();
         while let Some(part) = parts.next() {
             if parts.peek().is_none() || shared.len() == MAX_PARTS {
                 break;
             }
-            if !shared.contains(&part) {
+            if seen.insert(part) {
                 shared.push(part);
             }
         }
--- a/lib/src/transport/gateway/listener.rs
+++ b/lib/src/transport/gateway/listener.rs
@@ -147,6 +147,7 @@
     gauges.catalog_version.set(gateway.catalog().map_or(0, |catalog| catalog.version() as i64));
     gauges.catalog_age_ms.set(gateway.catalog_age(now).map_or(-1, |age| age.as_millis() as i64));
     ctx.telemetry.set_rewinds(gateway.source_rewinds());
+    ctx.telemetry.set_dropped_crash_reports(gateway.dropped_crash_reports());
     gauges.limited_servers.set(gateway.limited_servers().count() as i64);
     let limits = gateway.limited_servers().map(|(server, rate)| (server.id(), rate));
     ctx.telemetry.set_server_limits(limits);
--- a/lib/src/transport/gateway/telemetry.rs
+++ b/lib/src/transport/gateway/telemetry.rs
@@ -87,6 +87,7 @@
     waited: Histogram,
     dropped_lines: Counter,
     rewinds: Counter,
+    dropped_crash_reports: Counter,
     permits: Family<ResultLabel, Counter>,
     server_limits: Family<ServerLabel, Gauge<f64, AtomicU64>>,
     pub(crate) gauges: Gauges,
@@ -139,6 +140,9 @@
         let rewinds = Counter::default();
         let help = "Rises of the source's era: it was restored from an older copy";
         registry.register("source_rewinds", help, rewinds.clone());
+        let dropped_crash_reports = Counter::default();
+        let help = "Reports on crashes that were dropped because too many came";
+        registry.register("crash_reports_dropped", help, dropped_crash_reports.clone());
         let permits = Family::default();
         registry.register("permits", "Permits for limited servers by result", permits.clone());
         let server_limits = Family::default();
@@ -172,6 +176,7 @@
             waited,
             dropped_lines,
             rewinds,
+            dropped_crash_reports,
             permits,
             server_limits,
             gauges,
@@ -253,6 +258,12 @@
         self.rewinds.inc_by(rewinds.saturating_sub(self.rewinds.get()));
     }
 
+    /// Sets the number of reports on crashes that were dropped because too many came.
+    pub(crate) fn set_dropped_crash_reports(&self, dropped: u64) {
+        let counter = &self.dropped_crash_reports;
+        counter.inc_by(dropped.saturating_sub(counter.get()));
+    }
+
     /// Returns all metrics in the text format.
     pub(crate) fn render(&self) -> String {
         let mut text = String::new();
--- a/lib/tests/gateways/mod.rs
+++ b/lib/tests/gateways/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
--- a/lib/tests/test_gateway_isolation.rs
+++ b/lib/tests/test_gateway_isolation.rs
@@ -156,6 +156,111 @@
     assert_eq!(hosts.refusing(), case.hosts);
 }
 
+/// A crashing part among sound ones that other prompts share.
+struct ManyParts {
+    sound: u64,
+    /// The number of sound parts before it.
+    before: usize,
+}
+
+// Guards against BUDGET: a crashing part behind sixteen sound ones was a suspect of no crash.
+#[test_case(ManyParts { sound: 17, before: 17 } ; "behind seventeen")]
+#[test_case(ManyParts { sound: 100, before: 100 } ; "behind a hundred")]
+#[test_case(ManyParts { sound: 100, before: 0 } ; "before a hundred")]
+#[test_case(ManyParts { sound: 600, before: 300 } ; "in the middle of six hundred")]
+#[test_case(ManyParts { sound: 4_000, before: 4_000 } ; "behind as many as a head can list")]
+fn a_crashing_part_is_isolated_wherever_it_stands(case: ManyParts) {
+    let mut hosts = Hosts::start(5);
+    hosts.run(4_000);
+    let sound: Vec<PartId> = (0..case.sound).map(|number| PartId(0x1_0000 + number)).collect();
+    let mut crashing = sound.clone();
+    crashing.insert(case.before, BAD);
+    let own = |parts: &[PartId], number: u64| [parts, &[PartId(0x10_0000 + number)]].concat();
+    for crash in 0..4 {
+        hosts.crash(crash, &format!("x-{crash}"), &own(&crashing, crash as u64));
+        hosts.run(300);
+        // Only one of the hosts gets the sound prompts.
+        let now = at(hosts.now);
+        let request = hosts.gateways[4].admit(now, &facts_with(&own(&sound, 50))).unwrap();
+        hosts.gateways[4].record_sound_answer(&request, now);
+    }
+    let rounds = case.sound.div_ceil(512) * 1_700;
+    hosts.run(SPREAD_MS + rounds);
+    assert_eq!(hosts.refusing(), 5);
+    let now = at(hosts.now);
+    for host in &mut hosts.gateways {
+        let mut request = host.admit(now, &facts_with(&own(&sound, 60))).unwrap();
+        let placement = host.place(now, &mut request);
+        assert!(matches!(placement, GatewayPlacement::Send(_)), "{placement:?}");
+        assert_eq!((host.isolated_count(), host.dropped_crash_reports()), (1, 0));
+    }
+}
+
+// Guards against datagrams that are longer than UDP carries, which no host would get.
+#[test]
+fn the_longest_message_on_crashes_fits_in_a_datagram() {
+    let mut hosts = Hosts::start(1);
+    for crash in 0..60 {
+        let long = |number: u64| PartId(u64::MAX - crash * 10_000 - number);
+        let parts: Vec<PartId> = (0..2_000).map(long).collect();
+        hosts.crash(0, &format!("x-{crash}"), &parts);
+    }
+    let mut summary = hosts.gateways[0].peer_summary(at(100));
+    summary.loads = (0..700).map(|number| (u32::MAX - number, ServerLoad::default())).collect();
+    let answer = |number| AnswerNotice {
+        part: ServicePart { service: u32::MAX, part: PartId(u64::MAX - number) },
+        age: ms(1_000_000),
+    };
+    summary.crashes.answers = (0..512).map(answer).collect();
+    let parts: usize = summary.crashes.reports.iter().map(|one| one.report.parts.len()).sum();
+    assert!(parts > 3_000, "{parts}");
+    let datagram = encode_summary(&summary).unwrap();
+    assert!(datagram.len() <= 65_507, "{} bytes", datagram.len());
+    assert_eq!(
+        decode_summary(&datagram).unwrap().crashes.reports.len(),
+        summary.crashes.reports.len()
+    );
+}
+
+// Guards against reports that never leave a host, since others fill its messages.
+#[test]
+fn reports_that_do_not_fit_go_with_the_next_messages() {
+    let mut hosts = Hosts::start(2);
+    hosts.run(4_000);
+    for crash in 0..4_u64 {
+        let others = (0..3_000).map(|number| PartId(0x100_0000 * (crash + 1) + number));
+        let parts: Vec<PartId> = others.chain([BAD, PartId(1)]).collect();
+        hosts.crash(0, &format!("x-{crash}"), &parts);
+        hosts.now += 110;
+    }
+    hosts.run(SPREAD_MS);
+    assert_eq!(hosts.refusing(), 2);
+}
+
+// Guards against more traffic between hosts than planned, 11 KB a second each, while an engine crashes
+// every 0.6 s under prompts as long as those of review/5.
+#[test]
+fn prompts_of_many_parts_that_crash_servers_cost_few_bytes() {
+    const CRASHES: u64 = 20;
+    const GAP_MS: u64 = 600;
+    let mut hosts = Hosts::start(5);
+    hosts.run(4_000);
+    let before = hosts.bytes;
+    for crash in 0..CRASHES {
+        let sound = (0..17).map(|number| PartId(0xaaaa_0000 + number));
+        let own = [0xcc00_0000, 0xbb00_0000].map(|first| PartId(first + crash));
+        let parts: Vec<PartId> = sound.chain(own).collect();
+        hosts.crash(crash as usize % 5, &format!("x-{crash}"), &parts);
+        hosts.run(GAP_MS);
+        let now = at(hosts.now);
+        let request = hosts.gateways[4].admit(now, &facts_with(&parts)).unwrap();
+        hosts.gateways[4].record_sound_answer(&request, now);
+    }
+    let rate = (hosts.bytes - before) as u64 * 1_000 / (5 * CRASHES * GAP_MS);
+    println!("{rate} bytes a second and host");
+    assert!(rate < 11_000, "{rate} bytes a second and host");
+}
+
 // Guards against hosts that start, or were cut off, and send a part that the others refuse.
 #[test_case(5 ; "five hosts")]
 #[test_case(100 ; "a hundred hosts in cells")]
