responses: believe a refusal only under the request's own id

Cause: the statement that a request has not run was read before ids were compared, and an answer without an id passed as the request's own.

Change: a refusal, its pause and its limit count if they state the request's id. Otherwise the request may have run: it is sent again only if it may run twice, else it ends as 502. A second refusal of one server promises nothing for a once-only request. Answers to orders and reports state no id.

--- a/lib/src/coordination/gateway/request.rs
+++ b/lib/src/coordination/gateway/request.rs
@@ -75,7 +75,27 @@
     pub inputs: PlacementInputs,
 }
 
+/// Which request a response belongs to, by the id that it states.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResponseOrigin {
+    /// The one that was sent on its connection.
+    OwnRequest,
+    /// Another one.
+    OtherRequest,
+    /// It states no id.
+    Unknown,
+}
+
 impl GatewayRequest {
+    /// Returns which request a response with the id `stated` belongs to.
+    pub fn response_origin(&self, stated: Option<&str>) -> ResponseOrigin {
+        match stated {
+            Some(id) if id == self.id => ResponseOrigin::OwnRequest,
+            Some(_) => ResponseOrigin::OtherRequest,
+            None => ResponseOrigin::Unknown,
+        }
+    }
+
     /// Returns how sensitive the response is to gaps between its events.
     pub fn gap_class(&self) -> GapClass {
         GapClass::of(self.route.gap)
--- a/lib/src/transport/gateway/exchange.rs
+++ b/lib/src/transport/gateway/exchange.rs
@@ -45,6 +45,7 @@
 use crate::coordination::GatewayRequest;
 use crate::coordination::NextStep;
 use crate::coordination::RefusalReason;
+use crate::coordination::ResponseOrigin;
 use crate::coordination::SendResult;
 use crate::coordination::StopPhase;
 use crate::state::LimitVersion;
@@ -389,12 +390,22 @@
     /// Records what the head of a response to this request states of its server's limit.
     fn record_limit(&self, dispatch: &Dispatch, sent: LimitVersion, head: &response::Parts) {
         let facts = self.ctx.dialect.response_facts(head);
-        if facts.is_signed || !head.status.is_success() {
-            let id = &self.request.borrow().id;
-            self.ctx.record_limit(&dispatch.server.id, sent, Some(id), &facts);
+        let origin = self.request.borrow().response_origin(facts.request_id.as_deref());
+        let is_own = origin == ResponseOrigin::OwnRequest;
+        if is_own && (facts.is_signed || !head.status.is_success()) {
+            self.ctx.record_limit(&dispatch.server.id, sent, &facts);
         }
     }
 
+    /// Returns whether a statement that a request has not run is on this send. A server may write an
+    /// earlier refusal once more, which states the id of its request, or none. After an earlier send to
+    /// the same server the id is the same, so that a request that must not run twice counts as run.
+    fn is_refusal_of(&self, origin: ResponseOrigin, dispatch: &Dispatch) -> bool {
+        let request = self.request.borrow();
+        let sends = request.tried.iter().filter(|server| **server == dispatch.server.id).count();
+        origin == ResponseOrigin::OwnRequest && (request.is_retryable() || sends <= 1)
+    }
+
     fn upstream_request(&self, now: Moment, dispatch: &Dispatch) -> Request<Full<Bytes>> {
         let mut fields = self.head.headers.clone();
         strip_connection_fields(&mut fields);
@@ -421,15 +432,21 @@
         mut body: UpstreamBody,
     ) -> Result<Answer, SendFailure> {
         let facts = self.ctx.dialect.response_facts(&head);
-        self.ctx.record_pause(&active.dispatch.server.id, &facts);
-        if facts.not_run {
+        let origin = self.request.borrow().response_origin(facts.request_id.as_deref());
+        if origin == ResponseOrigin::OwnRequest {
+            self.ctx.record_pause(&active.dispatch.server.id, &facts);
+        }
+        if facts.not_run && self.is_refusal_of(origin, &active.dispatch) {
             let result =
                 SendResult::Declined { at_fault: facts.at_fault, retry_after: facts.retry_after };
             return Err(result.into());
         }
-        let is_other = facts.request_id.as_deref().is_some_and(|id| id != self.request.borrow().id);
         let is_success = head.status.is_success();
-        if is_other || (is_success && !facts.is_signed) {
+        let is_foreign = origin == ResponseOrigin::OtherRequest || facts.not_run;
+        if is_foreign {
+            self.log_foreign_response(&active.dispatch, &head, facts.request_id.as_deref());
+        }
+        if is_foreign || (is_success && !facts.is_signed) {
             return Err(SendResult::Lost.into());
         }
         if is_success && self.request.borrow().route.kind.is_stream() {
--- a/lib/src/transport/gateway/exchange_log.rs
+++ b/lib/src/transport/gateway/exchange_log.rs
@@ -4,6 +4,7 @@
 
 use http::Response;
 use http::request;
+use http::response;
 use slog::KV;
 use slog::Record;
 use slog::Serializer;
@@ -183,6 +184,22 @@
         }
     }
 
+    /// Logs and counts that a server wrote the response to another request, which states the id `stated`.
+    pub(crate) fn log_foreign_response(
+        &self,
+        dispatch: &Dispatch,
+        head: &response::Parts,
+        stated: Option<&str>,
+    ) {
+        self.ctx.telemetry.count_server_fault("foreign_response");
+        let request = self.request.borrow();
+        if let Some(log) = self.ctx.telemetry.limited_log(self.ctx.now(), LineKind::Failure) {
+            info!(log, "response of another request"; "request" => &request.id,
+                "server" => dispatch.server.id.id(), "stated_id" => stated.unwrap_or(""),
+                "status" => head.status.as_u16());
+        }
+    }
+
     /// Logs and counts that a server's stream ended before it was complete; its last event came at
     /// `last`.
     pub(crate) fn record_fault(&self, dispatch: &Dispatch, fault: StreamFault, last: Moment) {
--- a/lib/src/transport/gateway/limits.rs
+++ b/lib/src/transport/gateway/limits.rs
@@ -16,19 +16,14 @@
 const MAX_INVALID_LIMITS: usize = 1_024;
 
 impl GatewayContext {
-    /// Records the limit that a response of `server` names, or that it names none. `request` is the id of
-    /// the request, which was sent with the version `sent`.
+    /// Records the limit that a response of `server` names, or that it names none. Its request was sent
+    /// with the version `sent`.
     pub(crate) fn record_limit(
         &self,
         server: &ServerId,
         sent: LimitVersion,
-        request: Option<&str>,
         facts: &ResponseFacts,
     ) {
-        let stated_id = facts.request_id.as_deref();
-        if request.is_some_and(|request| stated_id.is_some_and(|id| id != request)) {
-            return;
-        }
         let rate = match facts.limit {
             LimitStatement::Absent => None,
             LimitStatement::Rate(rate) => Some(rate),
--- a/lib/src/transport/gateway/memory_reservation.rs
+++ b/lib/src/transport/gateway/memory_reservation.rs
@@ -169,7 +169,12 @@
         let response = upstream.send(ctx.dialect.report_request(server)).await.ok()?;
         let (head, mut body) = response.into_parts();
         ctx.record_if_leaving(&server.id, &head);
-        ctx.record_limit(&server.id, version, None, &ctx.dialect.response_facts(&head));
+        let facts = ctx.dialect.response_facts(&head);
+        if facts.request_id.is_some() {
+            // The request for a report has no id.
+            return None;
+        }
+        ctx.record_limit(&server.id, version, &facts);
         let mut report = BytesMut::new();
         while let Some(data) = body.next().await {
             report.extend_from_slice(&data.ok()?);
@@ -212,8 +217,12 @@
         let (head, _) = upstream.send(order).await.ok()?.into_parts();
         ctx.record_if_leaving(&server.id, &head);
         let facts = ctx.dialect.response_facts(&head);
+        if facts.request_id.is_some() {
+            // Orders have no id, so that this is a late response to a request.
+            return None;
+        }
         ctx.record_pause(&server.id, &facts);
-        ctx.record_limit(&server.id, version, None, &facts);
+        ctx.record_limit(&server.id, version, &facts);
         Some(ctx.dialect.order_outcome(&head))
     };
     timeout(ORDER_TIMEOUT, exchange).await.ok().flatten()
--- a/soak/src/server.rs
+++ b/soak/src/server.rs
@@ -162,7 +162,11 @@
     }
 
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
+        let id = request.headers().get("x-request-id").cloned();
         let mut response = self.clone().execute(request).await;
+        if let Some(id) = id {
+            response.headers_mut().entry("x-request-id").or_insert(id);
+        }
         if self.is_leaving.load(Ordering::SeqCst) {
             response.headers_mut().insert("server-leaving", HeaderValue::from_static("1"));
         }
