planned stop: an answer that is ready at the end is delivered

A request whose answer and the end of the stop came at once could get the refusal in place of the answer, since the two were polled in a random order. The answer is polled first now. By reading; no test shows the race.

--- a/lib/src/transport/gateway/exchange.rs
+++ b/lib/src/transport/gateway/exchange.rs
@@ -86,6 +86,7 @@
     };
     let facts = ctx.dialect.request_facts(&head);
     let body = tokio::select! {
+        biased;
         body = read_body(&ctx, body, limit, BODY_TIMEOUT) => body,
         () = ctx.await_stop_phase(StopPhase::Ended) => {
             Err(BodyError::Refused(ctx.gateway.borrow().stopping_refusal(ctx.now())))
@@ -121,6 +122,8 @@
         longest_pause: Cell::new(Duration::ZERO),
     };
     let answer = tokio::select! {
+        // An answer that is ready at the end of a stop is delivered.
+        biased;
         answer = exchange.run() => answer,
         () = exchange.ctx.await_stop_phase(StopPhase::Ended) => exchange.end_at_stop(),
     };
