Explain responses of other requests, rests of streams and messages on crashes

The comments left a newcomer to guess what a repeated refusal is, which text is skipped and why the bounds of a message are what they are. In the tests of stops, two functions of one purpose are one.

--- a/cli/tests/test_host_stops.rs
+++ b/cli/tests/test_host_stops.rs
@@ -22,7 +22,7 @@
 const AT_ONCE: Duration = Duration::from_millis(700);
 const SIGNED: &str = "X-Response-Signature: s\r\n";
 
-fn millis(millis: u64) -> Duration {
+const fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
@@ -114,16 +114,12 @@
 
 const QUEUED: StopCase = StopCase {
     place: Place::EngineQueue,
-    grace: millis_const(2_000),
+    grace: millis(2_000),
     more: &[],
     status: 503,
     is_known: false,
 };
 
-const fn millis_const(millis: u64) -> Duration {
-    Duration::from_millis(millis)
-}
-
 /// Sends the request of a case; returns the connections that keep it in its place, its own one last.
 fn bring_to(place: Place, host: &HostProcess) -> Vec<TcpStream> {
     let plain = "X-Deadline-Ms: 15000\r\n";
@@ -144,8 +140,8 @@
 
 // Guards against LOST: a planned stop dropped the requests that waited at the host, without a byte.
 #[test_case(QUEUED ; "a queued request, two seconds")]
-#[test_case(StopCase { grace: millis_const(500), is_known: true, ..QUEUED } ; "a queued request, half a second")]
-#[test_case(StopCase { grace: millis_const(8_000), ..QUEUED } ; "a queued request, eight seconds")]
+#[test_case(StopCase { grace: millis(500), is_known: true, ..QUEUED } ; "a queued request, half a second")]
+#[test_case(StopCase { grace: millis(8_000), ..QUEUED } ; "a queued request, eight seconds")]
 #[test_case(StopCase { more: &[Signal::Term, Signal::Hangup, Signal::Term], ..QUEUED } ; "further signals change nothing")]
 #[test_case(StopCase { place: Place::Body, ..QUEUED } ; "a body that is incomplete")]
 #[test_case(StopCase { place: Place::SilentOnce, status: 502, ..QUEUED } ; "a request that may have run")]
--- a/lib/src/coordination/gateway/isolation.rs
+++ b/lib/src/coordination/gateway/isolation.rs
@@ -29,11 +29,11 @@
 const MAX_ANSWER_DELAY: Duration = Duration::from_millis(150);
 /// How often the isolated parts are worked out again while the evidence stays the same but gets older.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(50);
-/// The most reports and answers in one message, and the most parts in all its reports: those of one of
-/// the longest prompts. With the loads this stays below the longest datagram; what is left over goes with
-/// the next messages.
+/// The most reports and answers in one message; what is left over goes with the next messages.
 pub(crate) const MAX_NEWS_REPORTS: usize = 40;
 pub(crate) const MAX_NEWS_ANSWERS: usize = 512;
+/// The most parts in all reports of one message, so that a report on the longest prompt fits. Together
+/// with the answers and the loads they stay below the longest datagram.
 pub(crate) const MAX_NEWS_PARTS: usize = MAX_PARTS;
 /// The age that is added to an answer in a message that acknowledges none of this host's: it may have
 /// been in transit for long.
--- a/lib/src/coordination/gateway/request.rs
+++ b/lib/src/coordination/gateway/request.rs
@@ -170,8 +170,8 @@
         })
     }
 
-    /// Picks one of a route's services at random, by their weights; none has the empty name, which no
-    /// server serves.
+    /// Picks one of a route's services at random, by their weights. If all weights are 0, returns an
+    /// empty name, for which there is no server.
     fn pick_service(&mut self, route: &Route) -> ServiceName {
         let total: u64 = route.backends.iter().map(|backend| u64::from(backend.weight)).sum();
         let mut left = if total > 0 { self.random.random_range(0..total) } else { 0 };
--- a/lib/src/transport/gateway/event_relay.rs
+++ b/lib/src/transport/gateway/event_relay.rs
@@ -85,8 +85,10 @@
 }
 
 impl EventRelay {
-    /// Reads events from `body`; events up to the number `last` are skipped. If it is to be the rest of
-    /// a stream, so is what has no number before the next event: it may be the text of an error.
+    /// Reads events from `body`; events up to the number `last` are skipped.
+    ///
+    /// If `is_rest`, another server has sent a part of the stream. Events without a number are then
+    /// skipped as well until one continues the stream, since they may be the text of an error.
     pub(crate) fn new(body: UpstreamBody, last: Option<u64>, is_rest: bool) -> EventRelay {
         EventRelay {
             awaits_rest: is_rest,
--- a/lib/src/transport/gateway/exchange.rs
+++ b/lib/src/transport/gateway/exchange.rs
@@ -403,9 +403,11 @@
         }
     }
 
-    /// Returns whether a statement that a request has not run is on this send. A server may write an
-    /// earlier refusal once more, which states the id of its request, or none. After an earlier send to
-    /// the same server the id is the same, so that a request that must not run twice counts as run.
+    /// Returns whether a response that states that its request has not run is about this send.
+    ///
+    /// A faulty server may repeat the refusal of an earlier request, which has another id or none. If
+    /// this request was sent to the same server before, a repeated refusal even has its id; a request
+    /// that must not run twice then counts as one that may have run.
     fn is_refusal_of(&self, origin: ResponseOrigin, dispatch: &Dispatch) -> bool {
         let request = self.request.borrow();
         let sends = request.tried.iter().filter(|server| **server == dispatch.server.id).count();
